Add the kernel, the domain types and the codec

The kernel is an application with a registry, declared settings, named events and service life cycle. Plug-ins register by role and name.

--- /dev/null
+++ b/src/greengageshunt/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission policies for rates and bursts."""
--- /dev/null
+++ b/src/greengageshunt/application.py
@@ -0,0 +1,159 @@
+"""The application kernel: extensions, roles, settings, events and the life cycle."""
+
+import asyncio
+import importlib
+import logging
+import signal
+from collections import abc
+from importlib import metadata
+from typing import Any
+
+from greengageshunt import clock as clock_module
+from greengageshunt import config, errors, events, registry
+
+logger = logging.getLogger(__name__)
+
+ENTRY_POINT_GROUP = "greengageshunt.plugins"
+
+
+class Application:
+    """Holds what the plug-ins of one program register, and runs its services.
+
+    A service is the only part that runs by itself. Its factory takes the
+    application and returns an object with ``async run()``, which ends when the
+    application stops, and optionally ``async stop()``, which is awaited first.
+    """
+
+    def __init__(self, *, name: str, clock: clock_module.Clock = clock_module.monotonic) -> None:
+        self._name = name
+        self._clock = clock
+        self._registry = registry.Registry()
+        self._events = events.EventBus()
+        self._declared: dict[str, config.Setting] = {}
+        self._settings: config.Settings | None = None
+        self._extensions: list[str] = []
+        self._instances: dict[tuple[str, str], Any] = {}
+        self._stopping = asyncio.Event()
+
+    @property
+    def name(self) -> str:
+        """Name of the program."""
+        return self._name
+
+    @property
+    def clock(self) -> clock_module.Clock:
+        """Clock of the program."""
+        return self._clock
+
+    @property
+    def registry(self) -> registry.Registry:
+        """Parts by role and name."""
+        return self._registry
+
+    @property
+    def events(self) -> events.EventBus:
+        """Events by name."""
+        return self._events
+
+    @property
+    def declared_settings(self) -> abc.Mapping[str, config.Setting]:
+        """Declared settings by key."""
+        return self._declared
+
+    @property
+    def settings(self) -> config.Settings:
+        """Checked settings.
+
+        Raises:
+            SettingsError: ``configure`` has not been called.
+        """
+        if self._settings is None:
+            raise errors.SettingsError("settings are not loaded")
+        return self._settings
+
+    @property
+    def extensions(self) -> tuple[str, ...]:
+        """Module names of the loaded extensions, in order."""
+        return tuple(self._extensions)
+
+    @property
+    def stopping(self) -> bool:
+        """Whether a stop was requested."""
+        return self._stopping.is_set()
+
+    def setup_extension(self, module_name: str) -> None:
+        """Import an extension and call its ``setup(app)``, once.
+
+        Raises:
+            RegistryError: The module has no ``setup`` function.
+        """
+        if module_name in self._extensions:
+            return
+        module = importlib.import_module(module_name)
+        setup = getattr(module, "setup", None)
+        if setup is None:
+            raise errors.RegistryError(f"extension {module_name!r} has no setup() function")
+        self._extensions.append(module_name)
+        setup(self)
+
+    def setup_entry_points(self) -> None:
+        """Set up the extensions that other packages declare as entry points."""
+        for entry_point in metadata.entry_points(group=ENTRY_POINT_GROUP):
+            self.setup_extension(entry_point.value)
+
+    def add_setting(self, setting: config.Setting) -> None:
+        """Declare a setting.
+
+        Raises:
+            RegistryError: The key is already declared.
+        """
+        if setting.key in self._declared:
+            raise errors.RegistryError(f"setting {setting.key!r} is already declared")
+        self._declared[setting.key] = setting
+
+    def add_part(self, role: str, name: str, factory: registry.Factory) -> None:
+        """Register a part of a role."""
+        self._registry.add(role, name, factory)
+
+    def add_event(self, name: str) -> None:
+        """Declare an event."""
+        self._events.add(name)
+
+    def configure(self, settings: config.Settings) -> None:
+        """Set the checked settings."""
+        self._settings = settings
+
+    def part(self, role: str, name: str) -> Any:
+        """Return the one instance of a part, created on first use."""
+        key = (role, name)
+        if key not in self._instances:
+            self._instances[key] = self._registry.get(role, name)(self)
+        return self._instances[key]
+
+    def selected(self, role: str) -> Any:
+        """Return the part of a role that the setting ``parts.<role>`` names."""
+        return self.part(role, self.settings[f"parts.{role}"])
+
+    def request_stop(self) -> None:
+        """Ask the application to stop gracefully."""
+        self._stopping.set()
+
+    async def run(self) -> None:
+        """Run all registered services until a stop is requested or one fails."""
+        loop = asyncio.get_running_loop()
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, self.request_stop)
+        names = self._registry.names("service")
+        services = [(name, self.part("service", name)) for name in names]
+        logger.info("starting", extra={"program": self._name, "services": list(names)})
+        async with asyncio.TaskGroup() as group:
+            tasks = [group.create_task(service.run(), name=name) for name, service in services]
+            await self._stopping.wait()
+            logger.info("stopping", extra={"program": self._name})
+            # Later services depend on earlier ones, so they stop first.
+            for _, service in reversed(services):
+                if hasattr(service, "stop"):
+                    await service.stop()
+            for task in tasks:
+                task.cancel()
+        logger.info("stopped", extra={"program": self._name})
--- /dev/null
+++ b/src/greengageshunt/codec.py
@@ -0,0 +1,72 @@
+"""Conversion between frozen data classes and plain values for JSON and CBOR."""
+
+import json
+from typing import Any, TypeVar
+
+import cattrs
+import cbor2
+
+from greengageshunt import model
+
+_T = TypeVar("_T")
+
+_converter = cattrs.Converter(forbid_extra_keys=True)
+
+
+def _structure_value(value: Any, _: Any) -> model.Value:
+    if value is None or isinstance(value, str | int | float | bool):
+        return value
+    raise TypeError(f"expected a string, number, boolean or null, got {type(value).__name__}")
+
+
+_converter.register_structure_hook(model.Value, _structure_value)
+
+
+def to_plain(value: Any) -> Any:
+    """Return a data class as nested dictionaries and lists."""
+    return _converter.unstructure(value)
+
+
+def from_plain(plain: Any, kind: type[_T]) -> _T:
+    """Return a data class from nested dictionaries and lists.
+
+    Raises:
+        ValueError: The plain value does not have the fields of the data class.
+    """
+    try:
+        return _converter.structure(plain, kind)
+    except (cattrs.BaseValidationError, TypeError, KeyError) as error:
+        reasons = "; ".join(cattrs.transform_error(error))
+        raise ValueError(f"not a {kind.__name__}: {reasons}") from error
+
+
+def to_json(value: Any) -> str:
+    """Return a data class as a JSON document."""
+    return json.dumps(to_plain(value), sort_keys=True)
+
+
+def from_json(text: str | bytes, kind: type[_T]) -> _T:
+    """Return a data class from a JSON document.
+
+    Raises:
+        ValueError: The text is not JSON or does not match the data class.
+    """
+    return from_plain(json.loads(text), kind)
+
+
+def to_cbor(value: Any) -> bytes:
+    """Return a data class as CBOR."""
+    return cbor2.dumps(to_plain(value))
+
+
+def from_cbor(data: bytes, kind: type[_T]) -> _T:
+    """Return a data class from CBOR.
+
+    Raises:
+        ValueError: The bytes are not CBOR or do not match the data class.
+    """
+    try:
+        plain = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, EOFError) as error:
+        raise ValueError(f"not CBOR: {error}") from error
+    return from_plain(plain, kind)
--- /dev/null
+++ b/src/greengageshunt/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of greengageshuntctl."""
--- /dev/null
+++ b/src/greengageshunt/config.py
@@ -0,0 +1,160 @@
+"""Declared settings, read from TOML files and checked before a daemon starts."""
+
+import dataclasses
+import pathlib
+import tomllib
+from collections import abc
+from typing import Any
+
+from greengageshunt import errors
+
+_MISSING = object()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Setting:
+    """Declaration of one setting.
+
+    Attributes:
+        key: Dotted key; the part before the last dot names the TOML table.
+        kind: Expected Python type: str, int, float, bool or list (of strings).
+        doc: One sentence for the settings reference, with the unit.
+        default: Value used without an entry; settings without one are required.
+        check: Returns an expectation that the value violates, or None.
+    """
+
+    key: str
+    kind: type
+    doc: str
+    default: Any = _MISSING
+    check: abc.Callable[[Any], str | None] | None = None
+
+    @property
+    def required(self) -> bool:
+        """Whether the file must contain the key."""
+        return self.default is _MISSING
+
+
+class Settings:
+    """Values of all declared settings of one program."""
+
+    def __init__(self, *, values: abc.Mapping[str, Any], source: str) -> None:
+        self._values = dict(values)
+        self._source = source
+
+    @property
+    def source(self) -> str:
+        """Path of the file from which the values were read."""
+        return self._source
+
+    def __getitem__(self, key: str) -> Any:
+        if key not in self._values:
+            raise errors.SettingsError(f"{self._source}: setting {key!r} is not declared")
+        return self._values[key]
+
+
+def is_address(value: str) -> str | None:
+    """Check that a value is ``host:port`` with an IPv4 host."""
+    host, separator, port = value.rpartition(":")
+    octets = host.split(".")
+    host_ok = len(octets) == 4 and all(o.isdigit() and int(o) <= 255 for o in octets)
+    port_ok = port.isdigit() and 0 < int(port) <= 65535
+    if separator and host_ok and port_ok:
+        return None
+    return 'an address such as "127.0.0.1:7000"'
+
+
+def is_positive(value: float) -> str | None:
+    """Check that a number is above zero."""
+    return None if value > 0 else "a number above 0"
+
+
+def flatten(table: abc.Mapping[str, Any], prefix: str = "") -> dict[str, Any]:
+    """Return a nested TOML table as a flat mapping with dotted keys."""
+    flat: dict[str, Any] = {}
+    for key, value in table.items():
+        if isinstance(value, dict):
+            flat.update(flatten(value, f"{prefix}{key}."))
+        else:
+            flat[f"{prefix}{key}"] = value
+    return flat
+
+
+def _describe(kind: type) -> str:
+    names = {str: "a string", int: "an integer", float: "a number", bool: "true or false"}
+    return names.get(kind, "a list of strings")
+
+
+def _matches(kind: type, value: Any) -> bool:
+    if kind is float:
+        return isinstance(value, int | float) and not isinstance(value, bool)
+    if kind is int:
+        return isinstance(value, int) and not isinstance(value, bool)
+    if kind is list:
+        return isinstance(value, list) and all(isinstance(item, str) for item in value)
+    return isinstance(value, kind)
+
+
+def check_value(declared: Setting, value: Any, source: str) -> Any:
+    """Return the value of a setting in its declared type.
+
+    Raises:
+        SettingsError: The value has a wrong type or violates the setting's check.
+    """
+    if not _matches(declared.kind, value):
+        expected = _describe(declared.kind)
+        raise errors.SettingsError(
+            f"{source}: {declared.key}: expected {expected}, got {value!r}", peer=source
+        )
+    value = float(value) if declared.kind is float else value
+    expectation = declared.check(value) if declared.check else None
+    if expectation:
+        raise errors.SettingsError(
+            f"{source}: {declared.key}: expected {expectation}, got {value!r}", peer=source
+        )
+    return value
+
+
+def parse(text: str, declared: abc.Mapping[str, Setting], source: str) -> Settings:
+    """Check TOML text against the declared settings.
+
+    Args:
+        text: TOML document.
+        declared: Settings by dotted key.
+        source: File name for error messages.
+
+    Raises:
+        SettingsError: Names the file, the key and what was expected.
+    """
+    try:
+        entries = flatten(tomllib.loads(text))
+    except tomllib.TOMLDecodeError as error:
+        raise errors.SettingsError(f"{source}: expected TOML: {error}", peer=source) from error
+    for key in entries:
+        if key not in declared:
+            raise errors.SettingsError(f"{source}: {key}: unknown setting", peer=source)
+    values = {}
+    for key, setting in declared.items():
+        if key in entries:
+            values[key] = check_value(setting, entries[key], source)
+        elif setting.required:
+            expected = _describe(setting.kind)
+            raise errors.SettingsError(
+                f"{source}: {key}: missing; expected {expected}: {setting.doc}", peer=source
+            )
+        else:
+            values[key] = setting.default
+    return Settings(values=values, source=source)
+
+
+def load(path: pathlib.Path, declared: abc.Mapping[str, Setting]) -> Settings:
+    """Read and check a settings file.
+
+    Raises:
+        SettingsError: The file cannot be read or does not match the declarations.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise errors.SettingsError(f"{path}: cannot be read: {error.strerror}") from error
+    return parse(text, declared, str(path))
--- /dev/null
+++ b/src/greengageshunt/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Versions of the operators' configuration, and keys."""
--- /dev/null
+++ b/src/greengageshunt/drivers/__init__.py
@@ -0,0 +1,1 @@
+"""Drivers towards targets."""
--- /dev/null
+++ b/src/greengageshunt/events.py
@@ -0,0 +1,53 @@
+"""Named events over reactivex subjects."""
+
+from collections import abc
+from typing import Any
+
+import reactivex
+from reactivex import abc as reactivex_abc
+
+from greengageshunt import errors
+
+
+class EventBus:
+    """Delivers events to subscribers in the emitting task."""
+
+    def __init__(self) -> None:
+        self._subjects: dict[str, reactivex.Subject[Any]] = {}
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """Names of the declared events, sorted."""
+        return tuple(sorted(self._subjects))
+
+    def add(self, name: str) -> None:
+        """Declare an event.
+
+        Raises:
+            RegistryError: The event is already declared.
+        """
+        if name in self._subjects:
+            raise errors.RegistryError(f"event {name!r} is already declared")
+        self._subjects[name] = reactivex.Subject()
+
+    def stream(self, name: str) -> reactivex.Observable[Any]:
+        """Return the observable of an event.
+
+        Raises:
+            RegistryError: The event is not declared.
+        """
+        return self._subject(name)
+
+    def connect(self, name: str, callback: abc.Callable[[Any], None]) -> reactivex_abc.DisposableBase:
+        """Subscribe a callback to an event."""
+        return self._subject(name).subscribe(callback)
+
+    def emit(self, name: str, payload: Any) -> None:
+        """Deliver a payload to all subscribers of an event."""
+        self._subject(name).on_next(payload)
+
+    def _subject(self, name: str) -> reactivex.Subject[Any]:
+        if name not in self._subjects:
+            known = ", ".join(self.names) or "none"
+            raise errors.RegistryError(f"unknown event {name!r}; declared: {known}")
+        return self._subjects[name]
--- /dev/null
+++ b/src/greengageshunt/failover/__init__.py
@@ -0,0 +1,1 @@
+"""Detection of failed primaries, promotion and write grants."""
--- /dev/null
+++ b/src/greengageshunt/frontends/__init__.py
@@ -0,0 +1,1 @@
+"""Front ends towards callers."""
--- /dev/null
+++ b/src/greengageshunt/groups/__init__.py
@@ -0,0 +1,1 @@
+"""Groups of targets and their status."""
--- /dev/null
+++ b/src/greengageshunt/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool, traces and reports."""
--- /dev/null
+++ b/src/greengageshunt/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Members, ownership and confirmation."""
--- /dev/null
+++ b/src/greengageshunt/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics of the daemons."""
--- /dev/null
+++ b/src/greengageshunt/model.py
@@ -0,0 +1,313 @@
+"""Frozen data types of the domain."""
+
+import dataclasses
+import enum
+import functools
+from collections import abc
+
+# A value of a statement parameter or of an answer's column.
+Value = str | int | float | bool | None
+
+
+class Role(enum.StrEnum):
+    """Role of a target in its group."""
+
+    PRIMARY = "primary"
+    REPLICA = "replica"
+
+
+class RouteKind(enum.StrEnum):
+    """Whether a route reads or writes."""
+
+    READ = "read"
+    WRITE = "write"
+
+
+class Priority(enum.IntEnum):
+    """Order in which a target's slots are given out; lower goes first."""
+
+    BOOKING = 0
+    NORMAL = 1
+    BROWSE = 2
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, order=True)
+class Position:
+    """A log position: the term, then the count of committed transactions."""
+
+    term: int
+    offset: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TermStart:
+    """The offset at which a term began: the last offset of the terms before it."""
+
+    term: int
+    first_offset: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Target:
+    """One database instance.
+
+    Attributes:
+        name: Unique name.
+        failure_domain: Failure domain that holds the target.
+        address: ``host:port`` of the PostgreSQL protocol.
+        replication_address: ``host:port`` from which replicas copy the log.
+        connection_limit: Number of connections that the target accepts.
+        slots: Number of statements that the target runs at once.
+    """
+
+    name: str
+    failure_domain: str
+    address: str
+    replication_address: str
+    connection_limit: int
+    slots: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GroupRecord:
+    """One database: its targets, its term and its primary.
+
+    Attributes:
+        group: Name of the group.
+        term: Term of the primary.
+        primary: Name of the primary target.
+        targets: All targets.
+        history: Start of each term, in rising order.
+        draining: Names of targets that get no new work.
+    """
+
+    group: str
+    term: int
+    primary: str
+    targets: tuple[Target, ...]
+    history: tuple[TermStart, ...]
+    draining: tuple[str, ...] = ()
+
+    def target(self, name: str) -> Target | None:
+        """Return the target of this name, or None."""
+        return next((target for target in self.targets if target.name == name), None)
+
+    @property
+    def majority(self) -> int:
+        """Number of targets that form a majority."""
+        return len(self.targets) // 2 + 1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetStatus:
+    """What a target reported of itself.
+
+    Attributes:
+        target: Name of the target.
+        term: Highest term that the target accepted.
+        promoter: Failover daemon from which it accepted that term.
+        role: Role of the target.
+        offset: Last offset of its log.
+        history: Start of each term in its log, in rising order.
+        observed_at: Monotonic seconds at which the status query was sent.
+    """
+
+    target: str
+    term: int
+    promoter: str
+    role: Role
+    offset: int
+    history: tuple[TermStart, ...]
+    observed_at: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ClientAccount:
+    """A client account.
+
+    Attributes:
+        name: Unique name.
+        weight: Weight in fair queues.
+        rate: Requests a second, over all entry VMs together.
+        burst: Requests above the rate that may come at once.
+    """
+
+    name: str
+    weight: float
+    rate: float
+    burst: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Key:
+    """A key of a client account; the secret itself is not kept.
+
+    Attributes:
+        key_id: Public part of the key.
+        account: Name of the client account.
+        digest: SHA-256 digest of the secret, in hexadecimal.
+        withdrawn: Whether the key no longer works.
+    """
+
+    key_id: str
+    account: str
+    digest: str
+    withdrawn: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Route:
+    """A named statement that callers may run.
+
+    Attributes:
+        name: Unique name.
+        group: Group whose targets run the statement.
+        kind: Whether the statement reads or writes.
+        statement: SQL with ``%(name)s`` placeholders; ``%(account)s`` is bound by the proxy.
+        staleness: Seconds by which a read may lag behind the primary; 0 for none.
+        open: Whether callers need no key.
+        repeatable: Whether the statement may run more than once.
+        priority: Order among queued statements.
+        require_replicated: Whether an unreplicated commit is reported as unknown.
+    """
+
+    name: str
+    group: str
+    kind: RouteKind
+    statement: str
+    staleness: float = 0.0
+    open: bool = False
+    repeatable: bool = False
+    priority: Priority = Priority.NORMAL
+    require_replicated: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Configuration:
+    """One version of what the operators set.
+
+    Attributes:
+        version: Number that rises with each accepted change.
+        accounts: Client accounts.
+        keys: Keys, withdrawn ones included.
+        routes: Routes.
+        token_secret: Key of the session tokens' signature, in hexadecimal.
+    """
+
+    version: int
+    accounts: tuple[ClientAccount, ...]
+    keys: tuple[Key, ...]
+    routes: tuple[Route, ...]
+    token_secret: str
+
+    @functools.cached_property
+    def accounts_by_name(self) -> abc.Mapping[str, ClientAccount]:
+        """Client accounts by name."""
+        return {account.name: account for account in self.accounts}
+
+    @functools.cached_property
+    def keys_by_id(self) -> abc.Mapping[str, Key]:
+        """Keys by key id."""
+        return {key.key_id: key for key in self.keys}
+
+    @functools.cached_property
+    def routes_by_name(self) -> abc.Mapping[str, Route]:
+        """Routes by name."""
+        return {route.name: route for route in self.routes}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Member:
+    """An entry VM as the membership knows it.
+
+    Attributes:
+        vm: Unique name.
+        failure_domain: Failure domain that holds the entry VM.
+        peer_address: ``host:port`` of its peer server.
+        leaving: Whether the entry VM takes no new work.
+    """
+
+    vm: str
+    failure_domain: str
+    peer_address: str
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Work:
+    """One statement for a target.
+
+    Attributes:
+        statement: SQL with placeholders.
+        parameters: Values of the placeholders.
+        write: Whether the statement writes.
+        account: Client account on whose behalf it runs; empty on open routes.
+        request_id: Caller's request id, or an empty string.
+        term: Term in which a write must run; 0 for reads.
+    """
+
+    statement: str
+    parameters: abc.Mapping[str, Value]
+    write: bool
+    account: str
+    request_id: str = ""
+    term: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Answer:
+    """The whole answer of a target to one statement.
+
+    Attributes:
+        columns: Column names; empty without a result set.
+        rows: Rows of column values.
+        row_count: Number of rows returned or changed.
+        position: Position of the target after the statement, or of the commit.
+        target: Name of the target.
+        replicated: Whether a second target has the commit; True for reads.
+        repeated: Whether the answer was looked up from an earlier run.
+    """
+
+    columns: tuple[str, ...]
+    rows: tuple[tuple[Value, ...], ...]
+    row_count: int
+    position: Position
+    target: str
+    replicated: bool = True
+    repeated: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallerRequest:
+    """A request as a front end hands it to the proxy.
+
+    Attributes:
+        route: Name of the route.
+        parameters: Values of the statement's placeholders.
+        key: Caller's key, or an empty string.
+        token: Session token, or an empty string.
+        request_id: Caller's id of this request, or an empty string.
+        transaction: Id of the open transaction, or an empty string.
+        deadline: Monotonic seconds after which the caller no longer waits.
+    """
+
+    route: str
+    parameters: abc.Mapping[str, Value]
+    key: str
+    token: str
+    request_id: str
+    transaction: str
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallerAnswer:
+    """An answer as a front end gives it to the caller.
+
+    Attributes:
+        answer: Answer of the target.
+        token: New session token.
+    """
+
+    answer: Answer
+    token: str
--- /dev/null
+++ b/src/greengageshunt/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the proxies of the entry VMs."""
--- /dev/null
+++ b/src/greengageshunt/platforms/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's store."""
--- /dev/null
+++ b/src/greengageshunt/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the programs."""
--- /dev/null
+++ b/src/greengageshunt/proxy/__init__.py
@@ -0,0 +1,1 @@
+"""The data path of an entry VM."""
--- /dev/null
+++ b/src/greengageshunt/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Request ids, outcomes and retries."""
--- /dev/null
+++ b/src/greengageshunt/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing policies."""
--- /dev/null
+++ b/src/greengageshunt/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Queue policies for the slots of a target."""
--- /dev/null
+++ b/src/greengageshunt/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Session tokens."""
--- /dev/null
+++ b/src/greengageshunt/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for targets."""
