Add a metrics page to both daemons

Cause: the load tool and operators could not see admissions, refusals, routing reasons, late answers, invariants or the event loop's lag. The request path emits three events (request-handled, admission-decided, route-chosen) and links emit late-answer; the metrics plug-in counts them. Ruled out: direct calls of a metrics object in the request path, since a program without the plug-in would need a substitute; the client library's own histograms, since their buckets are fixed in advance. Before: no metrics.

--- a/src/greengageshunt/frontends/http.py
+++ b/src/greengageshunt/frontends/http.py
@@ -124,6 +124,13 @@
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open caller connections."""
+        if self._runner is None or self._runner.server is None:
+            return 0
+        return len(self._runner.server.connections)
+
     async def run(self) -> None:
         """Serve callers until the application stops."""
         web_app = web.Application(client_max_size=BODY_LIMIT)
--- a/src/greengageshunt/peers/link.py
+++ b/src/greengageshunt/peers/link.py
@@ -127,6 +127,7 @@
             future = self._pending.get(correlation)
             if future is None or future.done():
                 self._late_answers += 1
+                self._app.events.emit("late-answer", self._peer.vm)
                 continue
             future.set_result(message)
 
--- a/src/greengageshunt/peers/links.py
+++ b/src/greengageshunt/peers/links.py
@@ -50,6 +50,11 @@
         """Return the link to a peer, or None."""
         return self._links.get(vm)
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open links."""
+        return sum(peer_link.connected for peer_link in self._links.values())
+
     async def request(self, vm: str, message: Any, timeout: float) -> Any:
         """Send a request to a peer and return its answer.
 
@@ -145,5 +150,6 @@
 def setup(app: application.Application) -> None:
     """Register the peer links."""
     app.add_event("peer-answered")
+    app.add_event("late-answer")
     app.add_part("peers", "links", lambda app: PeerLinks(app=app))
     app.add_part("service", "peer-links", lambda app: app.part("peers", "links"))
--- a/src/greengageshunt/programs/failover.py
+++ b/src/greengageshunt/programs/failover.py
@@ -8,6 +8,7 @@
     "greengageshunt.platforms.http",
     "greengageshunt.groups.directory",
     "greengageshunt.failover.watch",
+    "greengageshunt.metrics.page",
 )
 
 
--- a/src/greengageshunt/programs/proxy.py
+++ b/src/greengageshunt/programs/proxy.py
@@ -21,6 +21,7 @@
     "greengageshunt.proxy.owner",
     "greengageshunt.proxy.service",
     "greengageshunt.frontends.http",
+    "greengageshunt.metrics.page",
 )
 
 
--- a/src/greengageshunt/proxy/owner.py
+++ b/src/greengageshunt/proxy/owner.py
@@ -55,6 +55,11 @@
         self._watches: dict[str, replication.ReplicationWatch] = {}
         app.part("peers", "server").add_handler(messages.Execute, self.execute)
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open pooled connections to owned targets."""
+        return sum(held.open_connections for held in self._pools.values())
+
     def waits(self) -> dict[str, float]:
         """Return the seconds that a new request would wait, by owned target."""
         return {name: held.expected_wait for name, held in self._pools.items()}
--- a/src/greengageshunt/proxy/pool.py
+++ b/src/greengageshunt/proxy/pool.py
@@ -164,6 +164,7 @@
             clock=app.clock,
         )
         self._size = pool_size(target.connection_limit)
+        self._connections: list[PooledConnection] = []
         self._tasks = [self._start(number) for number in range(self._size)]
 
     @property
@@ -176,6 +177,11 @@
         """Number of connections."""
         return self._size
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections."""
+        return sum(connection.connected for connection in self._connections)
+
     @property
     def expected_wait(self) -> float:
         """Seconds that a new request would wait for a slot."""
@@ -232,5 +238,6 @@
 
     def _start(self, number: int) -> asyncio.Task[None]:
         connection = PooledConnection(app=self._app, target=self._target)
+        self._connections.append(connection)
         name = f"{self._target.name} connection {number}"
         return asyncio.create_task(connection.serve(self.release), name=name)
--- a/src/greengageshunt/proxy/service.py
+++ b/src/greengageshunt/proxy/service.py
@@ -12,6 +12,7 @@
 from greengageshunt.configuration import keys
 from greengageshunt.membership import ownership
 from greengageshunt.peers import messages
+from greengageshunt.proxy import reports
 from greengageshunt.routing import decision
 from greengageshunt.sessions import token
 
@@ -87,11 +88,17 @@
         """Handle one request from authentication to the new session token."""
         self._in_progress += 1
         self._idle.clear()
+        started_at = self._app.clock()
+        code = "internal_error"
         try:
-            return await self._handle(request)
+            handled = await self._handle(request)
+            code = "ok"
+            return handled
         except errors.RefusedError as error:
+            code = error.refusal.code
             return result.Failure(error.refusal)
         finally:
+            self._report(request, code, started_at)
             self._in_progress -= 1
             if not self._in_progress:
                 self._idle.set()
@@ -104,6 +111,15 @@
         """Do nothing until cancelled; requests arrive through front ends."""
         await asyncio.Event().wait()
 
+    def _report(self, request: model.CallerRequest, code: str, started_at: float) -> None:
+        route = self._configuration.current.routes_by_name.get(request.route)
+        report = reports.RequestReport(
+            kind=route.kind.value if route else "unknown",
+            code=code,
+            seconds=self._app.clock() - started_at,
+        )
+        self._app.events.emit("request-handled", report)
+
     async def _handle(self, request: model.CallerRequest) -> Handled:
         configuration = self._configuration.current
         route = configuration.routes_by_name.get(request.route)
@@ -136,6 +152,7 @@
             admitted=admitted.admitted,
             reason=admitted.reason,
         )
+        self._app.events.emit("admission-decided", admitted)
         if not admitted.admitted:
             raise errors.RefusedError(
                 errors.Refusal(
@@ -202,6 +219,7 @@
             position=position.offset if position else 0,
             reason=chosen.reason,
         )
+        self._app.events.emit("route-chosen", chosen)
         message = self._message(request, route, account, chosen, now)
         executed = await self._send(owner, message, now)
         self._check(executed, message, now)
@@ -301,5 +319,7 @@
 
 def setup(app: application.Application) -> None:
     """Register the request path."""
+    for name in ("request-handled", "admission-decided", "route-chosen"):
+        app.add_event(name)
     app.add_part("proxy", "service", lambda app: ProxyService(app=app))
     app.add_part("service", "proxy", lambda app: app.part("proxy", "service"))
--- a/src/greengageshunt/standins/layout.py
+++ b/src/greengageshunt/standins/layout.py
@@ -181,6 +181,7 @@
         f'peer_address = "{vm.member.peer_address}"\n'
         f'[http]\naddress = "{vm.http_address}"\n'
         f'[platform]\naddress = "{layout.platform_address}"\n'
+        f'[metrics]\naddress = "{vm.metrics_address}"\n'
         f"[invariants]\nstrict = {str(strict).lower()}\n"
     )
 
@@ -191,4 +192,5 @@
         f'[vm]\nname = "{vm.member.vm}"\n'
         f'failure_domain = "{vm.member.failure_domain}"\n'
         f'[platform]\naddress = "{layout.platform_address}"\n'
+        f'[metrics]\naddress = "{vm.failover_metrics_address}"\n'
     )
