Add the latency between failure domains with a relay of the stand-ins

Cause: the profiles state 1.5 ms (PPGM) and 1 ms (Himal) one way, and loopback has none. The platform stand-in lists a relay address for entry VMs of other failure domains; the relay delays each chunk. Nothing in the daemons changes. Checks of targets and replication are not relayed: group records are the same for all VMs, and the stand-in's lag setting already delays replication. Ruled out: a delay inside the peer links, since it would change the measured code; kernel traffic shaping, since it needs privileges. Conclusion: profile small stays without latency.

--- a/src/greengageshunt/programs/standin.py
+++ b/src/greengageshunt/programs/standin.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from greengageshunt import logs, model
-from greengageshunt.standins import platform, replication, target
+from greengageshunt.standins import platform, relay, replication, target
 
 
 def _split(address: str) -> tuple[str, int]:
@@ -62,12 +62,18 @@
         await asyncio.Event().wait()
 
 
+async def run_relay(arguments: argparse.Namespace) -> None:
+    """Run the relay until it is ended."""
+    await relay.run(arguments.forward, arguments.delay_ms / 1000)
+
+
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser of the command line."""
     parser = argparse.ArgumentParser(
         prog="greengageshunt-standin", description="Run a stand-in for development and tests."
     )
     parser.add_argument("--log-level", default="INFO", help="lowest level of log lines")
+    parser.set_defaults(loop_factory=None)
     commands = parser.add_subparsers(dest="command", required=True)
     platform_parser = commands.add_parser("platform", help="rows, objects and the VM list")
     platform_parser.add_argument("--address", required=True, help="host:port to serve on")
@@ -88,6 +94,16 @@
     target_parser.add_argument("--schema", type=pathlib.Path, help="SQL file run at the start")
     target_parser.add_argument("--data", type=pathlib.Path, help="directory that is kept")
     target_parser.set_defaults(run=run_target)
+    relay_parser = commands.add_parser("relay", help="latency between failure domains")
+    relay_parser.add_argument(
+        "--forward",
+        action="append",
+        required=True,
+        type=relay.parse_forward,
+        help="host:port=host:port: address to serve on and address to forward to",
+    )
+    relay_parser.add_argument("--delay-ms", type=float, required=True, help="added one-way delay")
+    relay_parser.set_defaults(run=run_relay, loop_factory=relay.create_loop)
     return parser
 
 
@@ -95,7 +111,8 @@
     """Run the stand-in that the command line names."""
     arguments = build_parser().parse_args()
     logs.configure(arguments.log_level)
-    asyncio.run(arguments.run(arguments))
+    with asyncio.Runner(loop_factory=arguments.loop_factory) as runner:
+        runner.run(arguments.run(arguments))
 
 
 if __name__ == "__main__":
--- a/src/greengageshunt/standins/fleet.py
+++ b/src/greengageshunt/standins/fleet.py
@@ -44,7 +44,7 @@
 
 
 class Fleet:
-    """Processes of a fleet, by name: ``platform``, targets, ``vm-1``, ``failover-vm-1``."""
+    """Processes of a fleet, by name: ``platform``, ``relay``, targets, ``vm-1``, ``failover-vm-1``."""
 
     def __init__(
         self,
@@ -92,6 +92,7 @@
     async def start(self, configuration: model.Configuration) -> None:
         """Start all processes, store the configuration, and wait until all serve it."""
         await self.start_platform(configuration)
+        self.start_relay()
         for group in self._layout.groups:
             for target in group.targets:
                 self.start_target(group, target)
@@ -108,10 +109,26 @@
         await self.publish(configuration)
         for group in self._layout.groups:
             await self._put(f"rows/{polling.GROUP_PREFIX}{group.group}", codec.to_json(group))
-        members = [codec.to_plain(vm.member) for vm in self._layout.vms]
+        members = [self._listed(vm) for vm in self._layout.vms]
         async with self.session.put(self._platform("control/vms"), json=members) as response:
             response.raise_for_status()
 
+    def _listed(self, vm: layout_module.EntryVm) -> dict[str, Any]:
+        listed = codec.to_plain(vm.member)
+        if self._layout.profile.domain_latency_ms:
+            listed["relay_address"] = vm.relay_address
+        return listed
+
+    def start_relay(self) -> None:
+        """Start the relay that adds the latency between failure domains, if there is any."""
+        delay = self._layout.profile.domain_latency_ms
+        if not delay:
+            return
+        arguments = ["relay", "--delay-ms", str(delay)]
+        for vm in self._layout.vms:
+            arguments += ["--forward", f"{vm.relay_address}={vm.member.peer_address}"]
+        self._start("relay", "standin", arguments)
+
     async def publish(self, configuration: model.Configuration) -> None:
         """Store a configuration as the current one, without conditions."""
         name = polling.configuration_object(configuration.version)
--- a/src/greengageshunt/standins/layout.py
+++ b/src/greengageshunt/standins/layout.py
@@ -5,7 +5,7 @@
 from greengageshunt import model
 
 # Ports that each stand-in target and each entry VM may use.
-PORTS_PER_PROCESS = 4
+PORTS_PER_PROCESS = 5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -22,6 +22,8 @@
         slots: Statements that a target runs at once.
         connections: Connections that a target accepts.
         connect_ms: Milliseconds to open a connection.
+        domain_latency_ms: One-way milliseconds between failure domains; 0 adds none.
+        caller_latency_ms: One-way milliseconds between callers and entry VMs.
     """
 
     name: str
@@ -33,6 +35,8 @@
     slots: int
     connections: int
     connect_ms: float
+    domain_latency_ms: float = 0.0
+    caller_latency_ms: float = 0.0
 
 
 PPGM = Profile(
@@ -45,6 +49,8 @@
     slots=2,
     connections=15,
     connect_ms=10.0,
+    domain_latency_ms=1.5,
+    caller_latency_ms=1.0,
 )
 
 HIMAL = Profile(
@@ -57,6 +63,8 @@
     slots=3,
     connections=40,
     connect_ms=25.0,
+    domain_latency_ms=1.0,
+    caller_latency_ms=1.0,
 )
 
 SMALL = Profile(
@@ -76,12 +84,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class EntryVm:
-    """Addresses of one entry VM of a development fleet."""
+    """Addresses of one entry VM of a development fleet.
+
+    Attributes:
+        member: The entry VM; its peer address is the direct one.
+        http_address: ``host:port`` for callers.
+        metrics_address: ``host:port`` of the proxy's metrics page.
+        failover_metrics_address: ``host:port`` of the failover daemon's metrics page.
+        relay_address: ``host:port`` at which VMs of other failure domains reach the peer
+            server when latency is emulated.
+    """
 
     member: model.Member
     http_address: str
     metrics_address: str
     failover_metrics_address: str
+    relay_address: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -161,6 +179,7 @@
                 http_address=_address(port),
                 metrics_address=_address(port + 2),
                 failover_metrics_address=_address(port + 3),
+                relay_address=_address(port + 4),
             )
         )
         port += PORTS_PER_PROCESS
--- a/src/greengageshunt/standins/platform.py
+++ b/src/greengageshunt/standins/platform.py
@@ -35,6 +35,22 @@
     version: int
 
 
+def vms_seen_by(viewer: str, vms: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Return the list of entry VMs as one of them gets it.
+
+    An entry with a ``relay_address`` shows it as its peer address to VMs of other
+    failure domains, so that a relay can add the latency between the domains.
+    """
+    domains = {entry["vm"]: entry["failure_domain"] for entry in vms}
+    seen = []
+    for entry in vms:
+        shown = {key: value for key, value in entry.items() if key != "relay_address"}
+        if "relay_address" in entry and domains.get(viewer) != entry["failure_domain"]:
+            shown["peer_address"] = entry["relay_address"]
+        seen.append(shown)
+    return seen
+
+
 class PlatformStandin:
     """Keeps rows, objects and the list of entry VMs in memory."""
 
@@ -124,7 +140,8 @@
 
     async def _get_vms(self, request: web.Request) -> web.Response:
         self._reads += 1
-        return web.json_response(self._vms)
+        viewer = request.headers.get("Vm", "")
+        return web.json_response(vms_seen_by(viewer, self._vms))
 
     async def _set_vms(self, request: web.Request) -> web.Response:
         self._vms = await request.json()
