Close target connections whose opening was cancelled

Cause: psycopg leaves the socket of a cancelled connection attempt open until the garbage collector finds it. At start each VM believes for a moment that it owns all targets; the attempts that it then cancels kept the target's connections, and the owner got 'too many connections' for good. Ruled out: a leak of pools (their tasks had ended). Conclusion: the attempt runs in a task that is not cancelled, and is closed when it completes.

--- a/src/greengageshunt/drivers/postgresql.py
+++ b/src/greengageshunt/drivers/postgresql.py
@@ -13,6 +13,9 @@
 CONNECT_TIMEOUT = 1.0  # seconds
 STATUS_TIMEOUT = 0.4  # seconds
 
+# Bound of an attempt whose caller gave up; two seconds is the least that psycopg accepts.
+ABANDONED_TIMEOUT = 2  # seconds
+
 _STATUS = "SELECT * FROM ggs_status()"
 
 
@@ -204,6 +207,29 @@
     )
 
 
+async def _open(**parameters: Any) -> psycopg.AsyncConnection[Any]:
+    """Open a connection within the timeout.
+
+    When psycopg's attempt is cancelled, its socket stays open until the garbage
+    collector finds it, and keeps one of the target's few connections. So the
+    attempt runs in a task of its own that nobody cancels.
+    """
+    attempt = asyncio.create_task(psycopg.AsyncConnection.connect(**parameters))
+    try:
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            return await asyncio.shield(attempt)
+    except (asyncio.CancelledError, TimeoutError):
+        attempt.add_done_callback(_close_abandoned)
+        raise
+
+
+def _close_abandoned(attempt: asyncio.Task[psycopg.AsyncConnection[Any]]) -> None:
+    if attempt.cancelled() or attempt.exception() is not None:
+        return
+    closing = asyncio.ensure_future(attempt.result().close())
+    closing.add_done_callback(lambda done: done.cancelled() or done.exception())
+
+
 class PostgresqlDriver:
     """Opens connections to targets."""
 
@@ -219,17 +245,17 @@
         """
         host, _, port = target.address.rpartition(":")
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT):
-                raw = await psycopg.AsyncConnection.connect(
-                    hostaddr=host,
-                    port=int(port),
-                    user=self._user,
-                    password=self._password,
-                    dbname="ggs",
-                    sslmode="disable",
-                    autocommit=True,
-                    cursor_factory=psycopg.AsyncClientCursor,
-                )
+            raw = await _open(
+                hostaddr=host,
+                port=int(port),
+                user=self._user,
+                password=self._password,
+                dbname="ggs",
+                sslmode="disable",
+                autocommit=True,
+                cursor_factory=psycopg.AsyncClientCursor,
+                connect_timeout=ABANDONED_TIMEOUT,
+            )
         except (psycopg.Error, OSError, TimeoutError) as error:
             raise errors.TargetError(
                 f"cannot connect: {str(error).strip() or 'timeout'}",
