--- a/src/greengageshunt/standins/fleet.py
+++ b/src/greengageshunt/standins/fleet.py
@@ -44,7 +44,10 @@
 
 
 class Fleet:
-    """Processes of a fleet, by name: ``platform``, ``relay``, targets, ``vm-1``, ``failover-vm-1``."""
+    """Processes of a fleet by name.
+
+    Names are ``platform``, ``relay``, those of targets, ``vm-1`` and ``failover-vm-1``.
+    """
 
     def __init__(
         self,
@@ -65,6 +68,7 @@
         self._strict = strict
         self._extra_settings = extra_settings
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._started: dict[str, tuple[str, list[str]]] = {}
         self._session: aiohttp.ClientSession | None = None
 
     @property
@@ -202,6 +206,11 @@
         process.kill()
         process.wait()
 
+    def start_again(self, name: str) -> None:
+        """Start a process that was ended, with the arguments of its first start."""
+        program, arguments = self._started[name]
+        self._start(name, program, arguments)
+
     async def stop(self) -> None:
         """End all processes."""
         if self._session is not None:
@@ -215,6 +224,7 @@
         self._processes.clear()
 
     def _start(self, name: str, program: str, arguments: list[str]) -> None:
+        self._started[name] = (program, arguments)
         command = [sys.executable, "-m", f"greengageshunt.programs.{program}", *arguments]
         with self.log_path(name).open("ab") as log:
             self._processes[name] = subprocess.Popen(command, stderr=log, stdout=log)
