Learn a new primary from target statuses and end silent queries in time

A proxy decides a group's record from the statuses that it and its peers checked: a target that is open for a term above the known one, with no higher term at a majority. It tells its peers at once, and a change of record starts the checks for the write grant without waiting for the next interval.

The driver's status query had no effective timeout towards a stopped target: psycopg answers a cancellation by sending a cancel request and waiting for its effect.

The target stand-in now rolls back open writes when a term fences it (the promotion failed with a locked database otherwise), opens a term and truncates a log in one transaction each, keeps sending the entries of a fenced primary, applies its replication lag without limiting the rate, and reports from where it copies and since when it has heard nothing.

Ruled out: closing the socket from another task, since its file number could be reused before the event loop forgets it.

--- a/src/greengageshunt/drivers/postgresql.py
+++ b/src/greengageshunt/drivers/postgresql.py
@@ -3,10 +3,12 @@
 import asyncio
 import dataclasses
 import json
+import math
 from collections import abc
 from typing import Any
 
 import psycopg
+from psycopg import waiting
 
 from greengageshunt import application, codec, config, errors, model
 
@@ -22,10 +24,12 @@
 
     Attributes:
         accepted: Whether the target accepted the term from this promoter.
+        previous_term: Highest term that the target had accepted before the request.
         status: Status of the target after the request.
     """
 
     accepted: bool
+    previous_term: int
     status: model.TargetStatus
 
 
@@ -44,6 +48,23 @@
     row_count: int
 
 
+class _AbandoningConnection(psycopg.AsyncConnection[Any]):
+    """A connection that gives up at once when its task is cancelled.
+
+    The base class sends a cancel request and waits for its effect, which a
+    target that does not respond delays without limit. The connection is closed
+    after a cancellation, so no answer is missed.
+    """
+
+    async def wait(self, gen: Any, interval: float = 0.0) -> Any:
+        """Run a generator of libpq steps."""
+        try:
+            return await waiting.wait_async(gen, self.pgconn.socket)
+        except asyncio.CancelledError:
+            self.pgconn.finish()
+            raise
+
+
 class Connection:
     """One connection to a target, with the system's own credentials."""
 
@@ -127,7 +148,8 @@
         (result,) = await self._bounded("raise-term", sql, {"term": term, "promoter": promoter})
         return TermVote(
             accepted=bool(result.rows[0][0]),
-            status=read_status(self._target.name, result, 1, now),
+            previous_term=int(str(result.rows[0][1])),
+            status=read_status(self._target.name, result, 2, now),
         )
 
     async def promote(self, term: int, promoter: str, now: float) -> model.TargetStatus:
@@ -192,7 +214,7 @@
 
 def read_status(target: str, result: StatementResult, skip: int, now: float) -> model.TargetStatus:
     """Return the status that a row contains after ``skip`` other columns."""
-    term, promoter, role, offset, history = result.rows[0][skip:]
+    term, promoter, role, offset, history, upstream, upstream_age = result.rows[0][skip:]
     return model.TargetStatus(
         target=target,
         term=int(term),
@@ -201,6 +223,8 @@
         offset=int(offset),
         history=codec.from_plain(json.loads(str(history)), tuple[model.TermStart, ...]),
         observed_at=now,
+        upstream=str(upstream),
+        upstream_age=math.inf if upstream_age is None else float(upstream_age) / 1000,
     )
 
 
@@ -220,7 +244,7 @@
         host, _, port = target.address.rpartition(":")
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT):
-                raw = await psycopg.AsyncConnection.connect(
+                raw = await _AbandoningConnection.connect(
                     hostaddr=host,
                     port=int(port),
                     user=self._user,
--- a/src/greengageshunt/groups/directory.py
+++ b/src/greengageshunt/groups/directory.py
@@ -7,6 +7,7 @@
 from collections import abc
 
 from greengageshunt import application, logs, model
+from greengageshunt.groups import decide
 from greengageshunt.routing import history
 
 logger = logging.getLogger(__name__)
@@ -53,9 +54,11 @@
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
         self._records: dict[str, model.GroupRecord] = {}
+        self._groups: dict[str, str] = {}
         self._statuses: dict[str, model.TargetStatus] = {}
         self._own: dict[str, model.TargetStatus] = {}
         self._primary_log: dict[str, collections.deque[Observation]] = {}
+        self._invariants = app.part("invariants", "default")
 
     @property
     def records(self) -> tuple[model.GroupRecord, ...]:
@@ -78,7 +81,8 @@
 
     def group_of(self, target: str) -> model.GroupRecord | None:
         """Return the record of the group that has a target, or None."""
-        return next((record for record in self.records if record.target(target)), None)
+        record = self._records.get(self._groups.get(target, ""))
+        return record if record and record.target(target) else None
 
     def status(self, target: str) -> model.TargetStatus | None:
         """Return the newest status of a target, or None."""
@@ -95,7 +99,19 @@
             return False
         if known and record.term == known.term and source != "platform":
             return False
+        consistent = known is None or known.term < record.term or known.primary == record.primary
+        self._invariants.check(
+            "one-primary-per-term",
+            consistent,
+            group=record.group,
+            term=record.term,
+            primary=record.primary,
+            source=source,
+        )
+        if not consistent:
+            return False
         self._records[record.group] = record
+        self._groups.update({target.name: record.group for target in record.targets})
         logs.log_decision(
             logger,
             "adopt-group",
@@ -109,8 +125,19 @@
 
     def learn_own_status(self, status: model.TargetStatus) -> None:
         """Take over a status that this entry VM checked itself."""
+        known = self._own.get(status.target)
+        self._invariants.check(
+            "accepted-term-never-reverts",
+            known is None or known.term <= status.term or status.observed_at < known.observed_at,
+            target=status.target,
+            known=known and known.term,
+            term=status.term,
+        )
         self._own[status.target] = status
         self._learn(status)
+        decided = self._decide(status.target)
+        if decided is not None:
+            self._app.events.emit("group-decided", decided)
 
     def learn_peer_status(self, status: model.TargetStatus, observed_at: float) -> None:
         """Take over a status that a peer checked.
@@ -120,11 +147,23 @@
             observed_at: Earliest monotonic seconds of the check on the own clock.
         """
         self._learn(dataclasses.replace(status, observed_at=observed_at))
+        self._decide(status.target)
 
     def forget_own_status(self, target: str) -> None:
         """Stop passing on the status of a target that is no longer checked here."""
         self._own.pop(target, None)
 
+    def _decide(self, target: str) -> model.GroupRecord | None:
+        """Take over the record of a later term that the statuses show, and return it."""
+        record = self.group_of(target)
+        if record is None:
+            return None
+        statuses = [status for each in record.targets if (status := self._statuses.get(each.name))]
+        newer = decide.newer_record(record, statuses)
+        if newer is None or not self.learn_record(newer, "statuses"):
+            return None
+        return newer
+
     def _learn(self, status: model.TargetStatus) -> None:
         known = self._statuses.get(status.target)
         if known is not None and status.observed_at <= known.observed_at:
@@ -149,4 +188,5 @@
 def setup(app: application.Application) -> None:
     """Register the group directory."""
     app.add_event("group-changed")
+    app.add_event("group-decided")
     app.add_part("groups", "directory", lambda app: GroupDirectory(app=app))
--- a/src/greengageshunt/groups/monitor.py
+++ b/src/greengageshunt/groups/monitor.py
@@ -1,7 +1,10 @@
 """Status checks of targets: one task for each checked target."""
 
 import asyncio
+import contextlib
+import dataclasses
 import logging
+import math
 from typing import Any
 
 from greengageshunt import application, errors, model
@@ -10,6 +13,8 @@
 logger = logging.getLogger(__name__)
 
 CHECK_INTERVAL = 0.15  # seconds
+URGENT_INTERVAL = 0.05  # seconds between checks while a group has no answering primary
+SILENT_AFTER = 0.4  # seconds without an answer after which checks are urgent
 RECONNECT_DELAY = 0.1  # seconds
 
 
@@ -33,6 +38,27 @@
     return tuple(owned)
 
 
+def check_interval(primary_seen_at: float, now: float) -> float:
+    """Return the seconds until the next check of a group's target.
+
+    While the primary is silent, callers' writes are held until a check shows the
+    new primary.
+
+    Args:
+        primary_seen_at: Monotonic seconds of the newest answer of the primary.
+        now: Monotonic seconds.
+    """
+    return URGENT_INTERVAL if now - primary_seen_at > SILENT_AFTER else CHECK_INTERVAL
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Check:
+    """A target that is checked, and the task that does so."""
+
+    target: model.Target
+    task: asyncio.Task[None]
+
+
 class StatusMonitor:
     """Checks the targets that this entry VM is responsible for."""
 
@@ -41,17 +67,23 @@
         self._driver = app.selected("driver")
         self._directory = app.part("groups", "directory")
         self._view = app.part("membership", "view")
-        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._checks: dict[str, Check] = {}
+        self._changed = asyncio.Event()
+        app.events.connect("group-changed", lambda _: self._changed.set())
 
     async def run(self) -> None:
         """Keep one task for each target to check."""
         try:
             while True:
                 self._reconcile()
-                await asyncio.sleep(CHECK_INTERVAL)
+                # A new primary needs its checks at once, for the write grant.
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(CHECK_INTERVAL):
+                        await self._changed.wait()
+                self._changed.clear()
         finally:
-            for task in self._tasks.values():
-                task.cancel()
+            for check in self._checks.values():
+                check.task.cancel()
 
     def _reconcile(self) -> None:
         live = self._view.live(self._app.clock())
@@ -59,18 +91,26 @@
         for record in self._directory.records:
             for target in targets_to_check(record, live, self._view.me.vm):
                 wanted[target.name] = target
-        for name in set(self._tasks) - set(wanted):
-            self._tasks.pop(name).cancel()
-            self._directory.forget_own_status(name)
-        for name in set(wanted) - set(self._tasks):
-            self._tasks[name] = asyncio.create_task(self._check(wanted[name]), name=f"check {name}")
+        for name, check in list(self._checks.items()):
+            if wanted.get(name) != check.target:
+                self._checks.pop(name).task.cancel()
+                self._directory.forget_own_status(name)
+        for name in set(wanted) - set(self._checks):
+            task = asyncio.create_task(self._check(wanted[name]), name=f"check {name}")
+            self._checks[name] = Check(target=wanted[name], task=task)
+
+    def _interval(self, target: model.Target) -> float:
+        record = self._directory.group_of(target.name)
+        primary = self._directory.status(record.primary) if record else None
+        seen_at = primary.observed_at if primary else -math.inf
+        return check_interval(seen_at, self._app.clock())
 
     async def _check(self, target: model.Target) -> None:
         while True:
             try:
                 connection = await self._driver.connect(target)
                 try:
-                    await self._check_connected(connection)
+                    await self._check_connected(target, connection)
                 finally:
                     await connection.close()
             except errors.TargetError as error:
@@ -78,12 +118,12 @@
                 logger.debug("status check failed", extra=fields)
             await asyncio.sleep(RECONNECT_DELAY)
 
-    async def _check_connected(self, connection: Any) -> None:
+    async def _check_connected(self, target: model.Target, connection: Any) -> None:
         while True:
             status = await connection.status(self._app.clock())
             self._directory.learn_own_status(status)
             self._app.events.emit("target-checked", status)
-            await asyncio.sleep(CHECK_INTERVAL)
+            await asyncio.sleep(self._interval(target))
 
 
 def setup(app: application.Application) -> None:
--- a/src/greengageshunt/model.py
+++ b/src/greengageshunt/model.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import functools
+import math
 from collections import abc
 
 # A value of a statement parameter or of an answer's column.
@@ -68,6 +69,19 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Intent:
+    """Announcement of a promotion that a failover daemon is about to try.
+
+    Attributes:
+        term: Term that it will ask the targets to accept.
+        promoter: Name of the failover daemon.
+    """
+
+    term: int
+    promoter: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class GroupRecord:
     """One database: its targets, its term and its primary.
@@ -79,6 +93,8 @@
         targets: All targets.
         history: Start of each term, in rising order.
         draining: Names of targets that get no new work.
+        intent: Promotion that was announced last and is not complete, or None.
+        requested_primary: Target that an operator wants as primary, or an empty string.
     """
 
     group: str
@@ -87,6 +103,8 @@
     targets: tuple[Target, ...]
     history: tuple[TermStart, ...]
     draining: tuple[str, ...] = ()
+    intent: Intent | None = None
+    requested_primary: str = ""
 
     def target(self, name: str) -> Target | None:
         """Return the target of this name, or None."""
@@ -110,6 +128,9 @@
         offset: Last offset of its log.
         history: Start of each term in its log, in rising order.
         observed_at: Monotonic seconds at which the status query was sent.
+        upstream: Replication address that the target copies from in its term, or an
+            empty string.
+        upstream_age: Seconds since it last heard from there; infinite if it never did.
     """
 
     target: str
@@ -119,6 +140,19 @@
     offset: int
     history: tuple[TermStart, ...]
     observed_at: float
+    upstream: str = ""
+    upstream_age: float = math.inf
+
+    @property
+    def open(self) -> bool:
+        """Whether the target is the promoted primary of the term that it accepted.
+
+        A promotion writes the first log entry of its term, so a primary that a
+        higher term has fenced lacks the start of that term.
+        """
+        return (
+            self.role is Role.PRIMARY and bool(self.history) and self.history[-1].term == self.term
+        )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/greengageshunt/peers/messages.py
+++ b/src/greengageshunt/peers/messages.py
@@ -120,6 +120,19 @@
     vm: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GroupChanged:
+    """Tells of a group's new record.
+
+    Attributes:
+        sender: Entry VM or failover daemon that decided the record.
+        record: The record.
+    """
+
+    sender: str
+    record: model.GroupRecord
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Acknowledged:
     """Answer to a message that has no result of its own."""
@@ -164,4 +177,6 @@
         register(kind)
 
 
-_register_all((Heartbeat, HeartbeatAck, Execute, Executed, Failed, Leaving, Acknowledged))
+_register_all(
+    (Heartbeat, HeartbeatAck, Execute, Executed, Failed, Leaving, GroupChanged, Acknowledged)
+)
--- a/src/greengageshunt/programs/proxy.py
+++ b/src/greengageshunt/programs/proxy.py
@@ -18,6 +18,7 @@
     "greengageshunt.peers.server",
     "greengageshunt.peers.links",
     "greengageshunt.membership.confirmation",
+    "greengageshunt.groups.spread",
     "greengageshunt.proxy.owner",
     "greengageshunt.proxy.service",
     "greengageshunt.frontends.http",
--- a/src/greengageshunt/standins/replication.py
+++ b/src/greengageshunt/standins/replication.py
@@ -1,13 +1,16 @@
 """Asynchronous replication between target stand-ins: JSON lines over TCP.
 
 A replica sends its name, offset and history. The primary answers with the
-offset to which the replica must truncate its log, then sends entries. The
-replica acknowledges each offset that it has applied.
+offset to which the replica must truncate its log, then sends entries, and a
+sign of life while there are none. The replica acknowledges each offset that it
+has applied.
 """
 
 import asyncio
+import contextlib
 import json
 import logging
+import time
 from typing import TYPE_CHECKING, Any
 
 from greengageshunt import codec, model
@@ -20,6 +23,7 @@
 
 BATCH = 200  # log entries
 RECONNECT_DELAY = 0.05  # seconds
+ALIVE_INTERVAL = 0.1  # seconds between signs of life
 
 
 def _write_line(writer: asyncio.StreamWriter, value: Any) -> None:
@@ -39,10 +43,28 @@
     def __init__(self, *, target: "target_module.TargetStandin") -> None:
         self._target = target
         self._task: asyncio.Task[None] | None = None
+        self._address = ""
+        self._term = 0
+        self._heard_at: float | None = None
+
+    def upstream(self, term: int) -> tuple[str, int | None]:
+        """Return the address copied from in a term, and the milliseconds of silence.
+
+        The address is empty if nothing is copied in this term; the milliseconds
+        are None if nothing was heard from the upstream.
+        """
+        if self._task is None or self._term != term:
+            return "", None
+        if self._heard_at is None:
+            return self._address, None
+        return self._address, int((time.monotonic() - self._heard_at) * 1000)
 
     def start(self, address: str, term: int) -> None:
         """Copy from the primary of a term until stopped."""
         self.stop()
+        self._address = address
+        self._term = term
+        self._heard_at = None
         self._task = asyncio.create_task(self._follow(address, term))
 
     def stop(self) -> None:
@@ -55,8 +77,8 @@
         while term >= self._target.term:
             try:
                 await self._copy(address, term)
-            except (OSError, ValueError) as error:
-                logger.debug("replication interrupted", extra={"reason": str(error)})
+            except OSError as error:
+                logger.debug("replication refused", extra={"reason": str(error)})
             await asyncio.sleep(RECONNECT_DELAY)
 
     async def _copy(self, address: str, term: int) -> None:
@@ -73,21 +95,52 @@
             }
             _write_line(writer, hello)
             keep = (await _read_line(reader))["keep"]
+            if term < self._target.term:
+                # Entries that a promoter has counted must not be dropped.
+                return
             if keep < store.offset:
                 logger.info("truncating log", extra={"offset": store.offset, "keep": keep})
                 store.truncate(keep)
-            while True:
-                entry = codec.from_plain(await _read_line(reader), storage.LogEntry)
-                await asyncio.sleep(self._target.faults.lag)
-                await self._target.not_stalled.wait()
-                # A raised term ends the copying of older terms before they are acknowledged.
-                if term < self._target.term:
-                    return
-                store.apply(entry)
-                _write_line(writer, {"applied": entry.offset})
+            _write_line(writer, {"applied": keep})
+            entries: asyncio.Queue[tuple[float, storage.LogEntry]] = asyncio.Queue()
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._receive(reader, entries))
+                group.create_task(self._apply(entries, term, writer))
+        except* (OSError, ValueError, KeyError) as error:
+            logger.debug("replication interrupted", extra={"reason": str(error.exceptions[0])})
         finally:
             writer.close()
 
+    async def _receive(
+        self, reader: asyncio.StreamReader, entries: asyncio.Queue[tuple[float, storage.LogEntry]]
+    ) -> None:
+        while True:
+            line = await _read_line(reader)
+            self._heard_at = time.monotonic()
+            if "alive" not in line:
+                entry = codec.from_plain(line, storage.LogEntry)
+                entries.put_nowait((self._heard_at, entry))
+
+    async def _apply(
+        self,
+        entries: asyncio.Queue[tuple[float, storage.LogEntry]],
+        term: int,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        while True:
+            received_at, entry = await entries.get()
+            due = received_at + self._target.faults.lag
+            await asyncio.sleep(max(0.0, due - time.monotonic()))
+            await self._target.not_stalled.wait()
+            # A raised term ends the copying of older terms before they are acknowledged.
+            if term < self._target.term:
+                raise ConnectionAbortedError("a higher term was accepted")
+            if entry.term > term:
+                raise ValueError(f"entry of term {entry.term} came from the primary of {term}")
+            self._target.store.apply(entry)
+            _write_line(writer, {"applied": entry.offset})
+            await self._target.notify_log()
+
 
 async def serve_replica(
     target: "target_module.TargetStandin",
@@ -103,34 +156,51 @@
         sent = target.store.common_offset(history, hello["offset"])
         _write_line(writer, {"keep": sent})
         async with asyncio.TaskGroup() as group:
-            group.create_task(_read_acknowledgements(target, hello["replica"], reader))
-            group.create_task(_send_entries(target, sent, writer))
+            group.create_task(
+                _read_acknowledgements(target, hello["replica"], reader, hello["term"])
+            )
+            group.create_task(_send_entries(target, sent, writer, hello["term"]))
     except* (OSError, ValueError, KeyError) as error:
         logger.debug("replica disconnected", extra={"reason": str(error.exceptions[0])})
     finally:
         writer.close()
 
 
+def _serves(target: "target_module.TargetStandin", term: int) -> bool:
+    """Return whether the log is that of the primary of a term, also when it is fenced."""
+    return target.role is model.Role.PRIMARY and target.store.history[-1].term == term
+
+
+async def _wait_entries(target: "target_module.TargetStandin", sent: int) -> None:
+    async with target.log_changed:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ALIVE_INTERVAL):
+                await target.log_changed.wait_for(lambda: target.store.offset > sent)
+
+
 async def _send_entries(
-    target: "target_module.TargetStandin", sent: int, writer: asyncio.StreamWriter
+    target: "target_module.TargetStandin", sent: int, writer: asyncio.StreamWriter, term: int
 ) -> None:
-    while True:
-        async with target.log_changed:
-            while target.store.offset <= sent:
-                await target.log_changed.wait()
+    while _serves(target, term):
+        _write_line(writer, {"alive": True})
         for entry in target.store.entries_after(sent, BATCH):
             _write_line(writer, codec.to_plain(entry))
             sent = entry.offset
         await writer.drain()
+        await _wait_entries(target, sent)
+    raise ConnectionAbortedError("the target is no longer the primary of this term")
 
 
 async def _read_acknowledgements(
-    target: "target_module.TargetStandin", replica: str, reader: asyncio.StreamReader
+    target: "target_module.TargetStandin", replica: str, reader: asyncio.StreamReader, term: int
 ) -> None:
-    target.replicas[replica] = 0
+    key = (replica, id(reader))
     try:
         while True:
-            target.replicas[replica] = (await _read_line(reader))["applied"]
+            applied = (await _read_line(reader))["applied"]
+            if not _serves(target, term):
+                return
+            target.replicas[key] = applied
             await target.notify_log()
     finally:
-        target.replicas.pop(replica, None)
+        target.replicas.pop(key, None)
--- a/src/greengageshunt/standins/storage.py
+++ b/src/greengageshunt/standins/storage.py
@@ -101,9 +101,12 @@
         row = self._main.execute("SELECT value FROM ggs_meta WHERE name = ?", (name,)).fetchone()
         return row[0] if row else default
 
-    def set_meta(self, name: str, value: str) -> None:
-        """Store a value that is not part of the log."""
-        self._main.execute("INSERT OR REPLACE INTO ggs_meta VALUES (?, ?)", (name, value))
+    def set_meta(self, **values: str) -> None:
+        """Store values that are not part of the log, all or none of them."""
+        self._main.execute(
+            "INSERT OR REPLACE INTO ggs_meta SELECT key, value FROM json_each(?)",
+            (json.dumps(values),),
+        )
 
     def entries_after(self, offset: int, limit: int) -> list[LogEntry]:
         """Return up to ``limit`` entries that follow an offset."""
@@ -140,6 +143,16 @@
         self._remember(entry)
         return entry.offset
 
+    def open_term(self, term: int) -> None:
+        """Append the first entry of a term and store that this target is its primary.
+
+        Both happen in one transaction, so that a process that is killed in
+        between restarts either as the primary of the term or not at all.
+        """
+        self._main.execute("BEGIN IMMEDIATE")
+        self.set_meta(role=model.Role.PRIMARY, open="1")
+        self.append(self._main, term, [])
+
     def _remember(self, entry: LogEntry) -> None:
         self._log.append(entry)
         if not self._history or self._history[-1].term != entry.term:
@@ -154,25 +167,34 @@
         if entry.offset != self.offset + 1:
             raise ValueError(f"entry {entry.offset} does not follow offset {self.offset}")
         self._main.execute("BEGIN IMMEDIATE")
-        for statement in entry.statements:
-            self._main.execute(statement)
-        self.append(self._main, entry.term, list(entry.statements))
+        try:
+            for statement in entry.statements:
+                self._main.execute(statement)
+            self.append(self._main, entry.term, list(entry.statements))
+        except sqlite3.Error as error:
+            self._main.execute("ROLLBACK")
+            raise ValueError(f"entry {entry.offset} cannot be applied: {error}") from error
 
     def truncate(self, offset: int) -> None:
-        """Drop the entries after an offset and rebuild the data from the log."""
+        """Drop the entries after an offset and rebuild the data from the log.
+
+        One transaction, so that a process that is killed meanwhile keeps the
+        entries that it has acknowledged.
+        """
         kept = self._log[:offset]
+        self._main.execute("BEGIN IMMEDIATE")
+        self._main.execute("DELETE FROM ggs_log WHERE log_offset > ?", (offset,))
         tables = self._main.execute(
-            "SELECT name FROM sqlite_master WHERE type = 'table' AND name <> 'ggs_meta'"
-            " AND name NOT LIKE 'sqlite_%'"
+            "SELECT name FROM sqlite_master WHERE type = 'table'"
+            " AND name NOT IN ('ggs_meta', 'ggs_log') AND name NOT LIKE 'sqlite_%'"
         ).fetchall()
-        self._main.execute("BEGIN IMMEDIATE")
         for (name,) in tables:
             self._main.execute(f'DROP TABLE "{name}"')
-        self._main.execute("COMMIT")
-        self._main.executescript(_LOG_SCHEMA)
-        for statement in self._schema:
+        statements = [statement for entry in kept for statement in entry.statements]
+        for statement in [*self._schema, *statements]:
             self._main.execute(statement)
+        self._main.execute("COMMIT")
         self._log = []
         self._history = []
         for entry in kept:
-            self.apply(entry)
+            self._remember(entry)
--- a/src/greengageshunt/standins/target.py
+++ b/src/greengageshunt/standins/target.py
@@ -3,8 +3,10 @@
 Besides SQL it serves these set-returning functions, which a real target offers
 as an extension or through its own views; ``docs/platform.md`` lists them:
 
-* ``ggs_status()``: term, promoter, role, log_offset, history (JSON).
-* ``ggs_raise_term(term, 'promoter')``: accepted, then the columns of ``ggs_status()``.
+* ``ggs_status()``: term, promoter, role, log_offset, history (JSON), upstream,
+  upstream_age_ms (NULL if it never heard from there).
+* ``ggs_raise_term(term, 'promoter')``: accepted, previous_term, then the columns of
+  ``ggs_status()``.
 * ``ggs_promote(term, 'promoter')``: the columns of ``ggs_status()``.
 * ``ggs_follow(term, 'replication address')``: the columns of ``ggs_status()``.
 * ``ggs_wait_replicated(offset, timeout_ms)``: highest offset that a replica has,
@@ -86,9 +88,10 @@
         self.connections = 0
         self.statements = 0
         self.log_changed = asyncio.Condition()
-        self.replicas: dict[str, int] = {}
+        self.replicas: dict[tuple[str, int], int] = {}
         self.follower = replication.Follower(target=self)
         self.seen_statements: list[str] = []
+        self.sessions: set[Session] = set()
 
     @property
     def term(self) -> int:
@@ -113,24 +116,34 @@
     def status(self) -> wire.ResultSet:
         """Return the result of ``ggs_status()``."""
         history = json.dumps(codec.to_plain(self.store.history))
+        upstream, age_ms = self.follower.upstream(self.term)
+        values = (self.term, self.promoter, self.role.value, self.store.offset, history)
         return wire.ResultSet(
-            columns=("term", "promoter", "role", "log_offset", "history"),
-            rows=((self.term, self.promoter, self.role.value, self.store.offset, history),),
+            columns=(
+                "term",
+                "promoter",
+                "role",
+                "log_offset",
+                "history",
+                "upstream",
+                "upstream_age_ms",
+            ),
+            rows=((*values, upstream, age_ms),),
             tag="SELECT 1",
         )
 
     def raise_term(self, term: int, promoter: str) -> wire.ResultSet:
         """Accept a term once, from one promoter, and stop writing and copying older terms."""
-        repeated = term == self.term and promoter == self.promoter
-        accepted = term > self.term or repeated
-        if term > self.term:
-            self.store.set_meta("term", str(term))
-            self.store.set_meta("promoter", promoter)
-            self.store.set_meta("open", "0")
+        previous_term = self.term
+        repeated = term == previous_term and promoter == self.promoter
+        accepted = term > previous_term or repeated
+        if term > previous_term:
+            self.abort_writers()
+            self.store.set_meta(term=str(term), promoter=promoter, open="0")
         status = self.status()
         return wire.ResultSet(
-            columns=("accepted", *status.columns),
-            rows=((accepted, *status.rows[0]),),
+            columns=("accepted", "previous_term", *status.columns),
+            rows=((accepted, previous_term, *status.rows[0]),),
             tag="SELECT 1",
         )
 
@@ -144,13 +157,8 @@
             raise wire.StatementError("55000", f"term {term} was not accepted from {promoter!r}")
         if not self.writable:
             self.follower.stop()
-            self.store.set_meta("role", model.Role.PRIMARY)
-            connection = self.store.connect()
-            connection.execute("BEGIN IMMEDIATE")
-            # An entry of the new term marks its start before the first write.
-            self.store.append(connection, term, [])
-            connection.close()
-            self.store.set_meta("open", "1")
+            self.replicas.clear()
+            self.store.open_term(term)
         return self.status()
 
     def follow(self, term: int, address: str) -> wire.ResultSet:
@@ -163,15 +171,23 @@
             raise wire.StatementError("55000", f"term {self.term} was accepted, not {term}")
         if self.writable and term == self.term:
             raise wire.StatementError("55000", f"this target is the primary of term {term}")
-        if term > self.term:
-            self.store.set_meta("term", str(term))
-            self.store.set_meta("promoter", "")
-        self.store.set_meta("open", "0")
-        self.store.set_meta("role", model.Role.REPLICA)
-        self.store.set_meta("upstream", address)
+        self.abort_writers()
+        promoter = "" if term > self.term else self.promoter
+        self.store.set_meta(
+            term=str(term),
+            promoter=promoter,
+            open="0",
+            role=model.Role.REPLICA,
+            upstream=address,
+        )
         self.follower.start(address, term)
         return self.status()
 
+    def abort_writers(self) -> None:
+        """Roll back the open transactions that have written."""
+        for session in self.sessions:
+            session.abort_write()
+
     async def wait_replicated(self, offset: int, timeout: float) -> wire.ResultSet:
         """Wait until a replica has an offset, or until the timeout in seconds."""
 
@@ -281,6 +297,8 @@
         self._failed = False
         self._holds_lock = False
         self._written: list[str] = []
+        self._aborted = False
+        target.sessions.add(self)
 
     @property
     def in_transaction(self) -> bool:
@@ -307,6 +325,8 @@
         if verb == "ROLLBACK":
             self.roll_back()
             return wire.ResultSet(columns=(), rows=(), tag="ROLLBACK")
+        if self._aborted:
+            raise _not_primary()
         if self._failed:
             raise wire.StatementError("25P02", "current transaction is aborted")
         async with self._target.slots:
@@ -323,6 +343,16 @@
         if self._in_transaction:
             self._failed = True
 
+    def abort_write(self) -> None:
+        """Undo an open transaction that has written, because the target is fenced."""
+        if not self._holds_lock:
+            return
+        if self._connection.in_transaction:
+            self._connection.execute("ROLLBACK")
+        self._written = []
+        self._aborted = True
+        self._release_lock()
+
     def roll_back(self) -> None:
         """Undo the open transaction, if any."""
         if self._connection.in_transaction:
@@ -331,6 +361,7 @@
 
     def close(self) -> None:
         """End the session."""
+        self._target.sessions.discard(self)
         self.roll_back()
         self._connection.close()
 
@@ -343,6 +374,10 @@
         self._check_writable()
         single = not self._in_transaction
         await self._take_lock()
+        if not self._target.writable:
+            # The target was fenced while this session waited for the lock.
+            self._release_lock()
+            raise _not_primary()
         if single:
             self._begin()
         try:
@@ -366,6 +401,9 @@
         self._holds_lock = True
 
     async def _commit(self) -> wire.ResultSet:
+        if self._aborted:
+            self.roll_back()
+            raise _not_primary()
         if self._failed or not self._written:
             self.roll_back()
             return wire.ResultSet(columns=(), rows=(), tag="COMMIT")
@@ -389,17 +427,25 @@
 
     def _check_writable(self) -> None:
         if not self._target.writable:
-            raise wire.StatementError("25006", "this target is not the primary of its term")
+            raise _not_primary()
 
     def _end(self) -> None:
         self._in_transaction = False
         self._failed = False
+        self._aborted = False
         self._written = []
+        self._release_lock()
+
+    def _release_lock(self) -> None:
         if self._holds_lock:
             self._target.write_lock.release()
             self._holds_lock = False
 
 
+def _not_primary() -> wire.StatementError:
+    return wire.StatementError("25006", "this target is not the primary of its term")
+
+
 async def _answer_query(session: Session, text: str, writer: asyncio.StreamWriter) -> None:
     try:
         for statement in split_statements(wire.plain_literals(text)):
--- /dev/null
+++ b/tests/test_drivers/test_silent_target.py
@@ -0,0 +1,42 @@
+"""Behaviour of the target driver towards a target that stops answering."""
+
+import asyncio
+import signal
+
+import pytest
+
+from greengageshunt import errors
+from greengageshunt.drivers import postgresql
+from greengageshunt.standins import fleet as fleet_module
+from greengageshunt.standins import layout
+from support import configurations
+
+REPLACEMENT_BOUND = 1.0  # seconds in which an unresponsive connection is replaced
+
+
+async def test_status_of_a_stopped_target_ends_in_time(tmp_path):
+    """Guards against a query whose cancellation waits for the silent target itself."""
+    base_port = fleet_module.free_base_port(layout.ports_needed(layout.SMALL))
+    fleet = fleet_module.Fleet(
+        layout=layout.build(layout.SMALL, base_port),
+        directory=tmp_path,
+        schema=configurations.SCHEMA,
+    )
+    group = fleet.layout.groups[0]
+    target = group.targets[0]
+    driver = postgresql.PostgresqlDriver(user="ggs", password="system")
+    try:
+        fleet.start_target(group, target)
+        async with asyncio.timeout(10.0):
+            while True:
+                try:
+                    connection = await driver.connect(target)
+                    break
+                except errors.TargetError:
+                    await asyncio.sleep(0.05)
+        fleet.signal(target.name, signal.SIGSTOP)
+        with pytest.raises(errors.TargetError, match="no answer"):
+            async with asyncio.timeout(REPLACEMENT_BOUND):
+                await connection.status(0.0)
+    finally:
+        await fleet.stop()
