Promote a replica of a failed primary, and hold writes meanwhile

The failover daemon watches groups with one task each.

Requests that wait at a superseded primary end when the new record arrives, so that their entry VM tries again at the new one; before, they would have waited for a connection until their deadline. A write that no second target copied before the primary failed is unknown instead of acknowledged.

--- /dev/null
+++ b/src/greengageshunt/failover/targets.py
@@ -0,0 +1,47 @@
+"""Connections of the failover daemon to the targets of the groups that it watches."""
+
+import asyncio
+from collections import abc
+from typing import Any, TypeVar
+
+from greengageshunt import application, errors, model
+
+_T = TypeVar("_T")
+
+
+class TargetLink:
+    """One connection to a target, opened on use and again after a failure."""
+
+    def __init__(self, *, app: application.Application, target: model.Target) -> None:
+        self._driver = app.selected("driver")
+        self._target = target
+        self._connection: Any = None
+        self._lock = asyncio.Lock()
+
+    @property
+    def target(self) -> model.Target:
+        """The target."""
+        return self._target
+
+    async def run(self, use: abc.Callable[[Any], abc.Awaitable[_T]]) -> _T:
+        """Run a job on the connection, one at a time.
+
+        Raises:
+            TargetError: The target did not answer, or refused.
+        """
+        async with self._lock:
+            if self._connection is None:
+                self._connection = await self._driver.connect(self._target)
+            try:
+                return await use(self._connection)
+            except BaseException as error:
+                # An answer with a code leaves the connection usable; nothing else does.
+                if not (isinstance(error, errors.TargetError) and error.code):
+                    await self.close()
+                raise
+
+    async def close(self) -> None:
+        """Close the connection."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.close()
--- a/src/greengageshunt/groups/decide.py
+++ b/src/greengageshunt/groups/decide.py
@@ -7,15 +7,18 @@
 
 
 def with_primary(record: model.GroupRecord, promoted: model.TargetStatus) -> model.GroupRecord:
-    """Return a record with the term, primary and history of a promoted target."""
-    fulfilled = record.requested_primary in ("", promoted.target)
+    """Return a record with the term, primary and history of a promoted target.
+
+    An operator's request ends with the next change of primary, whichever it is,
+    so that an old request never moves a later primary.
+    """
     return dataclasses.replace(
         record,
         term=promoted.term,
         primary=promoted.target,
         history=promoted.history,
         intent=None,
-        requested_primary="" if fulfilled else record.requested_primary,
+        requested_primary="",
     )
 
 
--- a/src/greengageshunt/programs/proxy.py
+++ b/src/greengageshunt/programs/proxy.py
@@ -12,6 +12,7 @@
     "greengageshunt.platforms.polling",
     "greengageshunt.groups.monitor",
     "greengageshunt.failover.grants",
+    "greengageshunt.failover.supersession",
     "greengageshunt.scheduling.fifo",
     "greengageshunt.routing.position",
     "greengageshunt.admission.static_split",
--- a/src/greengageshunt/proxy/owner.py
+++ b/src/greengageshunt/proxy/owner.py
@@ -19,6 +19,9 @@
 REPLICATION_WAIT = 0.5  # seconds for a second target to copy a commit
 RECONCILE_INTERVAL = 0.2  # seconds
 
+# SQLSTATE of a target that a higher term has fenced; the write was not applied.
+NOT_PRIMARY = "25006"
+
 
 # Runs a statement on a connection; takes the present time.
 Operation = abc.Callable[[Any, model.Work, float], abc.Awaitable[model.Answer]]
@@ -50,6 +53,7 @@
         self._view = app.part("membership", "view")
         self._directory = app.part("groups", "directory")
         self._grants = app.part("failover", "grants")
+        self._term_work = app.part("failover", "term-work")
         self._invariants = app.part("invariants", "default")
         self._pools: dict[str, pool.TargetPool] = {}
         self._watches: dict[str, replication.ReplicationWatch] = {}
@@ -96,24 +100,33 @@
             queued_at=received_at,
         )
         if not message.work.write:
-            answer = await self._run(target, entry, message.work, ledger.read)
+            answer = await self._run(record, target, entry, message.work, ledger.read)
             return _executed(answer, math.inf)
         self._check_grant(record, message)
-        answer = await self._run(target, entry, message.work, ledger.write)
+        answer = await self._run(record, target, entry, message.work, ledger.write)
         return await self._acknowledge(record, message, answer, received_at)
 
     async def _run(
         self,
+        record: model.GroupRecord,
         target: model.Target,
         entry: entry_module.Entry,
         work: model.Work,
         operation: Operation,
     ) -> model.Answer:
+        def run(job: abc.Callable[[Any], abc.Awaitable[model.Answer]]) -> Any:
+            return self.pool_of(target).run(entry, job)
+
+        def job(connection: Any) -> abc.Awaitable[model.Answer]:
+            return operation(connection, work, self._app.clock())
+
         try:
-            return await self.pool_of(target).run(
-                entry, lambda connection: operation(connection, work, self._app.clock())
-            )
+            if target.name == record.primary:
+                return await self._term_work.run(record, run, job)
+            return await run(job)
         except errors.TargetError as error:
+            if error.code == NOT_PRIMARY:
+                raise refused("term_changed", str(error), target.name) from error
             if error.code:
                 raise refused("statement_rejected", str(error), target.name) from error
             if not error.sent or not work.write:
@@ -127,15 +140,22 @@
         answer: model.Answer,
         received_at: float,
     ) -> messages.Executed:
+        committed_at = self._app.clock()
         replicated = await self._watches[message.target].wait(
             answer.position.offset, REPLICATION_WAIT
         )
         answer = dataclasses.replace(answer, replicated=replicated)
-        grant = self._grants.grant(record.group)
-        if grant.term != message.work.term or grant.expires_at <= self._app.clock():
+        if not replicated and not self._grants.primary_checked_since(message.target, committed_at):
+            # A primary that failed before a second target had the commit takes it along.
+            raise unknown("primary_lost", "the primary failed after the commit", message.target)
+        term = message.work.term
+        grant = self._grants.acknowledge(
+            record.group, term, answer.position.term, self._app.clock()
+        )
+        if grant is None:
             raise unknown(
                 "grant_expired",
-                f"the write grant of term {message.work.term} ended before the acknowledgement",
+                f"the write grant of term {term} ended before the acknowledgement",
                 message.target,
             )
         return _executed(answer, grant.expires_at - received_at)
--- a/src/greengageshunt/proxy/service.py
+++ b/src/greengageshunt/proxy/service.py
@@ -21,7 +21,9 @@
 
 # Refusals of requests that did not run, after which another try may reach the
 # new primary, the new owner or another replica.
-_TRY_AGAIN = frozenset({"term_changed", "no_grant", "owner_unreachable", "target_lost"})
+_TRY_AGAIN = frozenset(
+    {"term_changed", "no_grant", "owner_unreachable", "target_lost", "target_draining"}
+)
 
 # A target counts as live if it was checked within this many seconds.
 LIVE_DEADLINE = 1.0
--- a/src/greengageshunt/standins/fleet.py
+++ b/src/greengageshunt/standins/fleet.py
@@ -151,7 +151,7 @@
         """Start the failover daemon of an entry VM."""
         name = f"failover-{vm.member.vm}"
         path = self._directory / f"{name}.toml"
-        path.write_text(layout_module.failover_settings(self._layout, vm))
+        path.write_text(layout_module.failover_settings(self._layout, vm, self._strict))
         self._start(name, "failover", ["--settings", str(path)])
 
     async def wait_serving(self, vm: layout_module.EntryVm) -> None:
--- a/src/greengageshunt/standins/layout.py
+++ b/src/greengageshunt/standins/layout.py
@@ -185,10 +185,11 @@
     )
 
 
-def failover_settings(layout: Layout, vm: EntryVm) -> str:
+def failover_settings(layout: Layout, vm: EntryVm, strict: bool) -> str:
     """Return the TOML settings of a failover daemon."""
     return (
         f'[vm]\nname = "{vm.member.vm}"\n'
         f'failure_domain = "{vm.member.failure_domain}"\n'
         f'[platform]\naddress = "{layout.platform_address}"\n'
+        f"[invariants]\nstrict = {str(strict).lower()}\n"
     )
