--- a/src/greengageshunt/programs/proxy.py
+++ b/src/greengageshunt/programs/proxy.py
@@ -23,6 +23,7 @@
     "greengageshunt.proxy.owner",
     "greengageshunt.proxy.service",
     "greengageshunt.frontends.http",
+    "greengageshunt.metrics.page",
 )
 
 
