Look for a target's lag from the newest observation

Cause: cProfile of reads showed 0.42 ms of each request in three scans of up to 200 observations of the primary. Ruled out: leaving the lag out on routes without staleness; other policies may use it, and the search is now one or two steps for a target that keeps up.

--- a/src/greengageshunt/groups/directory.py
+++ b/src/greengageshunt/groups/directory.py
@@ -30,7 +30,7 @@
     position: model.Position
 
 
-def lag(status: model.TargetStatus, log: abc.Iterable[Observation], now: float) -> float:
+def lag(status: model.TargetStatus, log: abc.Reversible[Observation], now: float) -> float:
     """Return the seconds by which a target may lag behind its primary.
 
     A target that contains the position that the primary had when a query was
@@ -38,14 +38,16 @@
 
     Args:
         status: Status of the target.
-        log: Observations of the primary.
+        log: Observations of the primary, in rising order of time.
         now: Monotonic seconds.
 
     Returns:
         Seconds, or infinity if no observation tells.
     """
-    contained = (seen.observed_at for seen in log if history.contains(status, seen.position))
-    return now - max(contained, default=-math.inf)
+    # A target that keeps up contains one of the newest, so the search is short.
+    newest_first = reversed(log)
+    contained = (s.observed_at for s in newest_first if history.contains(status, s.position))
+    return now - next(contained, -math.inf)
 
 
 class GroupDirectory:
@@ -173,6 +175,8 @@
         if record is None or record.primary != status.target or status.term != record.term:
             return
         log = self._primary_log.setdefault(record.group, collections.deque(maxlen=OBSERVATIONS))
+        if log and status.observed_at < log[-1].observed_at:
+            return
         position = history.last_position(status)
         log.append(Observation(observed_at=status.observed_at, position=position))
 
