--- a/src/greengageshunt/load/sender.py
+++ b/src/greengageshunt/load/sender.py
@@ -1,7 +1,6 @@
 """Sends arrivals to a fleet as callers behind the platform's balancer."""
 
 import asyncio
-import collections
 import dataclasses
 import json
 from collections import abc
@@ -30,7 +29,11 @@
 
 def read_reply(status: int, body: bytes, token: str) -> Reply:
     """Return the reply of an HTTP answer."""
-    document = json.loads(body)
+    try:
+        document = json.loads(body)
+    except ValueError:
+        # The interface promises JSON; another body is a fault of the proxy.
+        return Reply(code=f"http_{status}", outcome="unknown")
     if status != 200:
         return Reply(code=document["code"], outcome=document["outcome"])
     value = document["rows"][0][0] if document["rows"] else None
@@ -39,8 +42,39 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Session:
+    """What a caller holds of a session.
+
+    Requests of a session may overlap, and the newest answer's token replaces the
+    one before; the writes that a token covers are those of its own chain of
+    requests and answers.
+
+    Attributes:
+        token: Newest session token.
+        writes: Number of acknowledged writes that the token covers, by group.
+    """
+
+    token: str = ""
+    writes: abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+
+def follow(sent: Session, arrival: arrivals_module.Arrival, token: str) -> Session:
+    """Return the session after an answer.
+
+    Args:
+        sent: Session with which the request was sent.
+        arrival: The request.
+        token: Session token of the answer.
+    """
+    writes = dict(sent.writes)
+    if arrival.kind is model.RouteKind.WRITE:
+        writes[arrival.group] = writes.get(arrival.group, 0) + 1
+    return Session(token=token, writes=writes)
+
+
 class Sender:
-    """Sessions of all callers, with their tokens and acknowledged writes."""
+    """Sends requests and keeps the sessions of all callers."""
 
     def __init__(
         self,
@@ -55,8 +89,7 @@
         self._keys = keys
         self._seed = seed
         self._one_way = layout.profile.caller_latency_ms / 1000
-        self._tokens: dict[tuple[str, int], str] = {}
-        self._written: collections.Counter[tuple[str, int, str]] = collections.Counter()
+        self._sessions: dict[tuple[str, int], Session] = {}
 
     def reference(self, number: int) -> str:
         """Return the request id of an arrival, under which a write stores its row."""
@@ -80,18 +113,17 @@
         return tuple(task.result() for task in tasks)
 
     async def _send(self, arrival: arrivals_module.Arrival, started_at: float) -> traces.Sample:
-        seen = self._written[(arrival.account, arrival.session, arrival.group)]
+        key = (arrival.account, arrival.session)
         await asyncio.sleep(self._one_way)
-        reply = await self._call_any(arrival)
+        sent = self._sessions.get(key, Session())
+        reply = await self._call_any(arrival, sent.token)
         await asyncio.sleep(self._one_way)
         latency = asyncio.get_running_loop().time() - started_at - arrival.at
         missing = False
         if reply.code == "ok":
-            self._tokens[(arrival.account, arrival.session)] = reply.token
-            if arrival.kind is model.RouteKind.WRITE:
-                self._written[(arrival.account, arrival.session, arrival.group)] += 1
-            else:
-                missing = int(reply.value or 0) < seen
+            self._sessions[key] = follow(sent, arrival, reply.token)
+            read = arrival.kind is model.RouteKind.READ
+            missing = read and int(reply.value or 0) < sent.writes.get(arrival.group, 0)
         return traces.Sample(
             arrival=arrival,
             latency=latency,
@@ -101,24 +133,24 @@
             own_writes_missing=missing,
         )
 
-    async def _call_any(self, arrival: arrivals_module.Arrival) -> Reply:
+    async def _call_any(self, arrival: arrivals_module.Arrival, token: str) -> Reply:
         """Try the planned entry VM, then the others, as the balancer does."""
         vms = self._layout.vms
         for offset in range(len(vms)):
             vm = vms[(arrival.vm + offset) % len(vms)]
             try:
-                return await self._call(arrival, vm.http_address)
+                return await self._call(arrival, vm.http_address, token)
             except aiohttp.ClientConnectorError:
                 continue
             except (aiohttp.ClientError, TimeoutError):
                 return Reply(code="connection_lost", outcome="unknown")
         return Reply(code="no_entry_vm", outcome="not_run")
 
-    async def _call(self, arrival: arrivals_module.Arrival, address: str) -> Reply:
+    async def _call(self, arrival: arrivals_module.Arrival, address: str, token: str) -> Reply:
         reference = self.reference(arrival.number)
         headers = {
             "Authorization": f"Bearer {self._keys[arrival.account]}",
-            "Session-Token": self._tokens.get((arrival.account, arrival.session), ""),
+            "Session-Token": token,
             "Request-Id": reference,
             "Timeout-Ms": str(int(TIMEOUT * 1000)),
         }
