Pass over cancelled requests when a slot becomes free

Cause: with the mixed fault schedule, requests ended with HTTP 500 or the peer's internal_error, and a slot was lost: the gate gave the slot to a request whose waiting was cancelled in the same pass of the event loop (InvalidStateError in set_result). Ruled out: catching the error, which would still lose the slot. The new test fails without the change. Conclusion: the slot goes to the next entry.

--- a/src/greengageshunt/scheduling/gate.py
+++ b/src/greengageshunt/scheduling/gate.py
@@ -120,8 +120,12 @@
             entry = self._queue.pop()
             if entry is None:
                 return
+            waiter = self._waiters.pop(entry)
+            if waiter.done():
+                # Its task was cancelled and has not run since; it takes no slot.
+                continue
             self._free -= 1
-            self._waiters.pop(entry).set_result(None)
+            waiter.set_result(None)
 
     def _refused(self, code: str, message: str) -> errors.RefusedError:
         return errors.RefusedError(
