--- a/src/greengageshunt/failover/detection.py
+++ b/src/greengageshunt/failover/detection.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import secrets
 from collections import abc
 
 from greengageshunt import model
@@ -49,7 +50,7 @@
     Attributes:
         record: Newest record.
         statuses: Newest status of each target, as checked by this watcher.
-        promoter: Name under which this watcher raises terms.
+        vm: Entry VM of this watcher.
         rank: Place of this watcher among the group's watchers, from 0.
         served_at: Monotonic seconds of the newest check that found the record's
             primary open for the record's term.
@@ -61,7 +62,7 @@
 
     record: model.GroupRecord
     statuses: tuple[model.TargetStatus, ...]
-    promoter: str
+    vm: str
     rank: int
     served_at: float
     stray_since: float | None
@@ -78,12 +79,29 @@
         reason: Why the primary is changed.
         preferred: Target to promote if its log is not shorter than others; may be empty.
         planned: Whether the old primary serves and hands over its whole log first.
+        promoter: Name under which the term is raised; see ``attempt_name``.
     """
 
     term: int
     reason: Reason
     preferred: str
     planned: bool
+    promoter: str
+
+
+def attempt_name(vm: str) -> str:
+    """Return a promoter name that no other attempt has.
+
+    A target accepts a term once from one promoter, and again from the same one.
+    If two attempts of an entry VM shared a name, the second could open another
+    target in the term of the first, whose answer was lost.
+    """
+    return f"{vm}#{secrets.token_hex(8)}"
+
+
+def vm_of(promoter: str) -> str:
+    """Return the entry VM of a promoter."""
+    return promoter.partition("#")[0]
 
 
 def reachable(view: GroupView, now: float) -> tuple[model.TargetStatus, ...]:
@@ -131,7 +149,7 @@
 def is_elected(view: GroupView) -> bool:
     """Return whether a majority of targets accepted a newer term of another promoter."""
     stray = stray_term(view.record, view.statuses)
-    if stray is None or stray[1] == view.promoter:
+    if stray is None or vm_of(stray[1]) == view.vm:
         return False
     votes = [status for status in view.statuses if (status.term, status.promoter) == stray]
     return len(votes) >= view.record.majority
@@ -164,7 +182,13 @@
 
 
 def _plan(view: GroupView, reason: Reason, preferred: str, *, planned: bool = False) -> Plan:
-    return Plan(term=next_term(view), reason=reason, preferred=preferred, planned=planned)
+    return Plan(
+        term=next_term(view),
+        reason=reason,
+        preferred=preferred,
+        planned=planned,
+        promoter=attempt_name(view.vm),
+    )
 
 
 def _plan_failed(view: GroupView, now: float) -> Plan | None:
--- a/src/greengageshunt/failover/promotion.py
+++ b/src/greengageshunt/failover/promotion.py
@@ -38,11 +38,10 @@
 
 
 class Promoter:
-    """Carries out plans under the name of this failover daemon."""
+    """Carries out plans."""
 
-    def __init__(self, *, app: application.Application, name: str) -> None:
+    def __init__(self, *, app: application.Application) -> None:
         self._app = app
-        self._name = name
         self._platform = app.selected("platform")
 
     async def promote(
@@ -82,7 +81,7 @@
     async def _announce(
         self, plan: detection.Plan, record: model.GroupRecord
     ) -> model.GroupRecord | None:
-        intent = model.Intent(term=plan.term, promoter=self._name)
+        intent = model.Intent(term=plan.term, promoter=plan.promoter)
         try:
             async with asyncio.timeout(INTENT_TIMEOUT):
                 return await rows.announce(self._platform, record, intent)
@@ -164,7 +163,7 @@
             async with asyncio.timeout(VOTE_TIMEOUT):
                 answer = await link.run(
                     lambda connection: connection.raise_term(
-                        plan.term, self._name, self._app.clock()
+                        plan.term, plan.promoter, self._app.clock()
                     )
                 )
         except (errors.TargetError, TimeoutError) as error:
@@ -186,7 +185,9 @@
         for _ in range(PROMOTE_TRIES):
             try:
                 status = await link.run(
-                    lambda connection: connection.promote(plan.term, self._name, self._app.clock())
+                    lambda connection: connection.promote(
+                        plan.term, plan.promoter, self._app.clock()
+                    )
                 )
             except errors.TargetError as error:
                 self._log("promotion-failed", plan, record, problem=str(error))
--- a/src/greengageshunt/failover/watch.py
+++ b/src/greengageshunt/failover/watch.py
@@ -75,7 +75,7 @@
         self._links = {
             target.name: targets.TargetLink(app=app, target=target) for target in record.targets
         }
-        self._promoter = promotion.Promoter(app=app, name=self._name)
+        self._promoter = promotion.Promoter(app=app)
         self._started_at = app.clock()
         self._served: dict[int, float] = {}
         self._stray: tuple[tuple[int, str], float] | None = None
@@ -170,7 +170,7 @@
         return detection.GroupView(
             record=record,
             statuses=statuses,
-            promoter=self._name,
+            vm=self._name,
             rank=rank,
             served_at=self._served_at(record),
             stray_since=self._stray[1] if self._stray else None,
--- /dev/null
+++ b/tests/test_failover/test_grants.py
@@ -0,0 +1,123 @@
+"""Write grants: what counts, and for how long."""
+
+import dataclasses
+import math
+
+import pytest
+
+from greengageshunt import errors, model
+from greengageshunt.failover import grants
+from support import fakes
+
+NOW = 100.0
+
+
+def _keeper(world, clock=lambda: NOW):
+    app = fakes.build_application(world, clock)
+    return app, app.part("failover", "grants")
+
+
+def _check(app, world, name, sent_at):
+    app.events.emit("target-checked", world.targets[name].status(sent_at))
+
+
+def test_grant_counts_from_the_sending_of_the_oldest_check_of_the_majority():
+    """Guards against a grant that outlasts the promoter's wait."""
+    world = fakes.build_world()
+    app, keeper = _keeper(world)
+    _check(app, world, "a", NOW - 0.1)
+    assert keeper.grant("group").expires_at == -math.inf
+    _check(app, world, "b", NOW - 0.3)
+    assert keeper.grant("group").expires_at == pytest.approx(NOW - 0.3 + grants.GRANT_LENGTH)
+
+
+def test_statuses_of_peers_give_no_grant():
+    """Guards against a grant that rests on checks of which this VM does not know the time."""
+    world = fakes.build_world()
+    app, keeper = _keeper(world)
+    directory = app.part("groups", "directory")
+    for name in "abc":
+        directory.learn_peer_status(world.targets[name].status(NOW), NOW)
+    assert keeper.acknowledge("group", 1, 1, NOW) is None
+
+
+def test_target_that_accepted_a_higher_term_does_not_count():
+    """Guards against an acknowledgement after a majority was asked for a new primary."""
+    world = fakes.build_world()
+    app, keeper = _keeper(world)
+    world.targets["b"].raise_term(2, "other", NOW)
+    world.targets["c"].raise_term(2, "other", NOW)
+    for name in "abc":
+        _check(app, world, name, NOW)
+    assert keeper.acknowledge("group", 1, 1, NOW) is None
+
+
+def test_grant_ends_while_its_holder_is_paused():
+    """Guards against an acknowledgement by a process that resumes past its grant."""
+    world = fakes.build_world()
+    app, keeper = _keeper(world)
+    for name in "abc":
+        _check(app, world, name, NOW)
+    assert keeper.acknowledge("group", 1, 1, NOW + grants.GRANT_LENGTH - 0.01)
+    assert keeper.acknowledge("group", 1, 1, NOW + grants.GRANT_LENGTH) is None
+
+
+def test_write_of_an_ended_term_is_not_acknowledged_under_the_next():
+    """Guards against a term that changes between the check and the acknowledgement."""
+    world = fakes.build_world()
+    app, keeper = _keeper(world)
+    for name in "abc":
+        _check(app, world, name, NOW)
+    record = dataclasses.replace(world.record, term=2, primary="b")
+    app.part("groups", "directory").learn_record(record, "platform")
+    assert keeper.acknowledge("group", 1, 1, NOW) is None
+    assert keeper.acknowledge("group", 2, 1, NOW) is None
+
+
+def test_older_check_does_not_replace_a_newer_one():
+    """Guards against a late answer that hides an accepted term."""
+    world = fakes.build_world()
+    app, keeper = _keeper(world)
+    late = [world.targets[name].status(NOW - 0.1) for name in "bc"]
+    for name in "bc":
+        world.targets[name].raise_term(2, "other", NOW)
+        _check(app, world, name, NOW)
+    for status in late:
+        app.events.emit("target-checked", status)
+    assert keeper.acknowledge("group", 1, 1, NOW) is None
+
+
+def test_acknowledging_an_older_term_violates_an_invariant():
+    """Guards against a program that goes back to an ended term unnoticed."""
+    world = fakes.build_world()
+    app, keeper = _keeper(world)
+    directory = app.part("groups", "directory")
+    later = dataclasses.replace(world.record, term=2, primary="b")
+    directory.learn_record(later, "platform")
+    for name in "abc":
+        _check(app, world, name, NOW)
+    assert keeper.acknowledge("group", 2, 2, NOW)
+    # Force what the directory refuses to do.
+    directory._records["group"] = world.record
+    with pytest.raises(errors.InvariantError, match="acknowledged-terms-never-revert"):
+        keeper.acknowledge("group", 1, 1, NOW)
+
+
+def test_two_primaries_of_one_term_violate_an_invariant():
+    """Guards against a promoter that opened a target in a term of another."""
+    world = fakes.build_world()
+    app, _ = _keeper(world)
+    other = dataclasses.replace(world.record, primary="c")
+    with pytest.raises(errors.InvariantError, match="one-primary-per-term"):
+        app.part("groups", "directory").learn_record(other, "platform")
+
+
+def test_target_whose_accepted_term_goes_back_violates_an_invariant():
+    """Guards against a target that lost its term and could vote twice."""
+    world = fakes.build_world()
+    app, _ = _keeper(world)
+    directory = app.part("groups", "directory")
+    status: model.TargetStatus = world.targets["b"].status(NOW)
+    directory.learn_own_status(dataclasses.replace(status, term=3))
+    with pytest.raises(errors.InvariantError, match="accepted-term-never-reverts"):
+        directory.learn_own_status(dataclasses.replace(status, observed_at=NOW + 1))
