--- a/src/greengageshunt/proxy/pool.py
+++ b/src/greengageshunt/proxy/pool.py
@@ -162,6 +162,7 @@
             slots=target.slots,
             queue=app.selected("scheduling")(),
             clock=app.clock,
+            invariants=app.part("invariants", "default"),
         )
         self._size = pool_size(target.connection_limit)
         self._tasks = [self._start(number) for number in range(self._size)]
--- a/src/greengageshunt/scheduling/entry.py
+++ b/src/greengageshunt/scheduling/entry.py
@@ -4,6 +4,8 @@
 
 from greengageshunt import model
 
+QUEUE_LIMIT = 1000  # entries that wait for one target
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, eq=False)
 class Entry:
--- a/src/greengageshunt/scheduling/fifo.py
+++ b/src/greengageshunt/scheduling/fifo.py
@@ -15,9 +15,12 @@
     def __len__(self) -> int:
         return len(self._entries)
 
-    def push(self, entry: entry_module.Entry) -> None:
-        """Add an entry."""
+    def push(self, entry: entry_module.Entry) -> entry_module.Entry | None:
+        """Add an entry; return it if the queue is full."""
+        if len(self._entries) >= entry_module.QUEUE_LIMIT:
+            return entry
         self._entries.append(entry)
+        return None
 
     def pop(self) -> entry_module.Entry | None:
         """Remove and return the next entry, or None."""
@@ -27,9 +30,16 @@
         """Remove an entry that no longer waits."""
         self._entries.remove(entry)
 
+    def ahead(self, entry: entry_module.Entry) -> float:
+        """Return the number of waiting entries that are served before a new one."""
+        return len(self._entries)
+
     def charge(self, account: str, weight: float, seconds: float) -> None:
         """Ignore the slot time of a finished entry."""
 
+    def give_back(self, account: str, weight: float) -> None:
+        """Ignore that a slot was not used."""
+
 
 def setup(app: application.Application) -> None:
     """Register the FIFO queue."""
--- a/src/greengageshunt/scheduling/gate.py
+++ b/src/greengageshunt/scheduling/gate.py
@@ -8,12 +8,11 @@
 
 from greengageshunt import clock as clock_module
 from greengageshunt import errors
+from greengageshunt import invariants as invariants_module
 from greengageshunt.scheduling import entry as entry_module
 
 logger = logging.getLogger(__name__)
 
-QUEUE_LIMIT = 1000  # entries
-
 # Share of the newest slot time in the moving average.
 _SMOOTHING = 0.1
 
@@ -24,8 +23,8 @@
     def __len__(self) -> int:
         """Return the number of waiting entries."""
 
-    def push(self, entry: entry_module.Entry) -> None:
-        """Add an entry."""
+    def push(self, entry: entry_module.Entry) -> entry_module.Entry | None:
+        """Add an entry; return the one that is displaced from a full queue."""
 
     def pop(self) -> entry_module.Entry | None:
         """Remove and return the next entry, or None."""
@@ -33,11 +32,17 @@
     def discard(self, entry: entry_module.Entry) -> None:
         """Remove an entry that no longer waits."""
 
+    def ahead(self, entry: entry_module.Entry) -> float:
+        """Return the number of waiting entries that are served before a new one."""
+
     def charge(self, account: str, weight: float, seconds: float) -> None:
         """Account for the slot time of a finished entry."""
 
+    def give_back(self, account: str, weight: float) -> None:
+        """Take note that a popped entry did not use its slot."""
+
 
-def expected_wait(*, waiting: int, slots: int, mean_slot_time: float) -> float:
+def expected_wait(*, waiting: float, slots: int, mean_slot_time: float) -> float:
     """Return the seconds that a new entry waits for a slot.
 
     Args:
@@ -51,23 +56,38 @@
 class SlotGate:
     """Gives out the slots of a target in the order of a queue policy."""
 
-    def __init__(self, *, name: str, slots: int, queue: Queue, clock: clock_module.Clock) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        slots: int,
+        queue: Queue,
+        clock: clock_module.Clock,
+        invariants: invariants_module.Invariants,
+    ) -> None:
         self._name = name
         self._slots = slots
         self._free = slots
         self._queue = queue
         self._clock = clock
+        self._invariants = invariants
         self._mean_slot_time = 0.0
         self._waiters: dict[entry_module.Entry, asyncio.Future[None]] = {}
 
+    @property
+    def free(self) -> int:
+        """Number of free slots."""
+        return self._free
+
+    @property
+    def waiting(self) -> int:
+        """Number of waiting entries."""
+        return len(self._queue)
+
     @property
     def expected_wait(self) -> float:
         """Seconds that a new entry would wait for a slot."""
-        return expected_wait(
-            waiting=len(self._queue) + (0 if self._free else 1),
-            slots=self._slots,
-            mean_slot_time=self._mean_slot_time,
-        )
+        return self._wait_behind(len(self._queue))
 
     @contextlib.asynccontextmanager
     async def slot(self, entry: entry_module.Entry) -> abc.AsyncIterator[None]:
@@ -83,45 +103,88 @@
             yield
         finally:
             seconds = self._clock() - started
-            self._queue.charge(entry.account, entry.weight, seconds)
             self._mean_slot_time += _SMOOTHING * (seconds - self._mean_slot_time)
-            self._free += 1
-            self._dispatch()
+            self._queue.charge(entry.account, entry.weight, seconds)
+            self._release()
 
     async def _acquire(self, entry: entry_module.Entry) -> None:
         now = self._clock()
-        if len(self._queue) >= QUEUE_LIMIT:
-            raise self._refused("queue_full", f"{QUEUE_LIMIT} requests already wait")
-        if now + self.expected_wait > entry.deadline:
+        wait = self._wait_behind(self._queue.ahead(entry))
+        if wait and now + wait > entry.deadline:
             raise self._refused("overloaded", "the deadline passes before a slot is free")
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiters[entry] = waiter
-        self._queue.push(entry)
+        displaced = self._queue.push(entry)
+        if displaced is not None:
+            self._refuse_waiter(displaced, "queue_full", "too many requests wait")
         self._dispatch()
         try:
             async with asyncio.timeout(max(0.0, entry.deadline - now)):
                 await waiter
-        except (TimeoutError, asyncio.CancelledError) as error:
+        except TimeoutError:
             self._abandon(entry, waiter)
-            if isinstance(error, asyncio.CancelledError):
-                raise
             raise self._refused("overloaded", "the deadline passed in the queue") from None
+        except asyncio.CancelledError:
+            self._abandon(entry, waiter)
+            raise
 
     def _abandon(self, entry: entry_module.Entry, waiter: asyncio.Future[None]) -> None:
+        """Give up the place in the queue, or the slot if it was just given."""
         if self._waiters.pop(entry, None) is not None:
             self._queue.discard(entry)
-        elif waiter.done() and not waiter.cancelled():
-            # The slot was given at the moment at which the wait ended.
-            self._free += 1
-            self._dispatch()
+        elif not waiter.cancelled() and waiter.exception() is None:
+            self._queue.give_back(entry.account, entry.weight)
+            self._release()
+
+    def _release(self) -> None:
+        self._free += 1
+        self._check()
+        self._dispatch()
 
     def _dispatch(self) -> None:
         while self._free:
             entry = self._queue.pop()
             if entry is None:
                 return
-            self._free -= 1
-            self._waiters.pop(entry).set_result(None)
+            waiter = self._waiters[entry]
+            if waiter.done():
+                # Its task was cancelled and has not run since.
+                self._skip(entry)
+            elif entry.deadline <= self._clock():
+                self._skip(entry)
+                waiter.set_exception(
+                    self._refused("overloaded", "the deadline passed in the queue")
+                )
+            else:
+                del self._waiters[entry]
+                self._free -= 1
+                self._check()
+                waiter.set_result(None)
+
+    def _skip(self, entry: entry_module.Entry) -> None:
+        del self._waiters[entry]
+        self._queue.give_back(entry.account, entry.weight)
+
+    def _refuse_waiter(self, entry: entry_module.Entry, code: str, message: str) -> None:
+        waiter = self._waiters.pop(entry)
+        if not waiter.done():
+            waiter.set_exception(self._refused(code, message))
+
+    def _wait_behind(self, waiting: float) -> float:
+        return expected_wait(
+            waiting=waiting + (0 if self._free else 1),
+            slots=self._slots,
+            mean_slot_time=self._mean_slot_time,
+        )
+
+    def _check(self) -> None:
+        self._invariants.check(
+            "slots-within-limit",
+            0 <= self._free <= self._slots,
+            target=self._name,
+            free=self._free,
+            slots=self._slots,
+        )
 
     def _refused(self, code: str, message: str) -> errors.RefusedError:
         return errors.RefusedError(
