--- a/src/greengageshunt/config.py
+++ b/src/greengageshunt/config.py
@@ -157,4 +157,6 @@
         text = path.read_text(encoding="utf-8")
     except OSError as error:
         raise errors.SettingsError(f"{path}: cannot be read: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise errors.SettingsError(f"{path}: expected UTF-8 text: {error.reason}") from error
     return parse(text, declared, str(path))
--- a/src/greengageshunt/configuration/keys.py
+++ b/src/greengageshunt/configuration/keys.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import re
 import secrets
 
 from returns import result
@@ -10,6 +11,16 @@
 
 _SECRET_BYTES = 24
 
+KEY_ID_RULE = "1 to 64 letters, digits, underscores or hyphens"
+
+# Without dots, because a caller's key is ``<key id>.<secret>``.
+_KEY_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9_-]{0,63}")
+
+
+def is_key_id(text: str) -> bool:
+    """Return whether a text may be a key id."""
+    return _KEY_ID.fullmatch(text) is not None
+
 
 def digest(secret: str) -> str:
     """Return the digest under which a secret is stored."""
--- /dev/null
+++ b/src/greengageshunt/configuration/status.py
@@ -0,0 +1,106 @@
+"""Status of one proxy for operators; contains no secrets."""
+
+import dataclasses
+import math
+import uuid
+
+from aiohttp import web
+
+from greengageshunt import application, codec
+
+PATH = "/v1/status"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GroupStatus:
+    """What a proxy knows of a group.
+
+    Attributes:
+        group: Name of the group.
+        term: Term of the newest known record.
+        revision: Revision of that record.
+        primary: Name of the primary target.
+        draining: Names of targets that get no new work.
+    """
+
+    group: str
+    term: int
+    revision: int
+    primary: str
+    draining: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class VmStatus:
+    """Status of one proxy.
+
+    Attributes:
+        vm: Name of the entry VM.
+        failure_domain: Its failure domain.
+        incarnation: Random text that changes with each start.
+        version: Configuration version in force; 0 for none.
+        settled: Whether the proxy has caught up since its start.
+        confirmed: Whether keys are served.
+        confirmation_age: Seconds since the last confirmation, or None for never.
+        leaving: Whether the proxy takes no new work.
+        members: Names of the entry VMs that it has listed; empty without a list.
+        groups: Groups that it knows.
+    """
+
+    vm: str
+    failure_domain: str
+    incarnation: str
+    version: int
+    settled: bool
+    confirmed: bool
+    confirmation_age: float | None
+    leaving: bool
+    members: tuple[str, ...]
+    groups: tuple[GroupStatus, ...]
+
+
+class StatusEndpoint:
+    """Answers requests for the status."""
+
+    def __init__(self, *, app: application.Application) -> None:
+        self._app = app
+        self._configuration = app.part("configuration", "state")
+        self._confirmation = app.part("membership", "confirmation")
+        self._view = app.part("membership", "view")
+        self._directory = app.part("groups", "directory")
+        self._incarnation = uuid.uuid4().hex
+
+    async def __call__(self, request: web.Request) -> web.Response:
+        """Return the status as JSON."""
+        return web.json_response(text=codec.to_json(self.status(self._app.clock())))
+
+    def status(self, now: float) -> VmStatus:
+        """Return the status at a time in monotonic seconds."""
+        confirmed_at = self._confirmation.confirmed_at(now)
+        members = self._view.members if self._view.listed else ()
+        return VmStatus(
+            vm=self._view.me.vm,
+            failure_domain=self._view.me.failure_domain,
+            incarnation=self._incarnation,
+            version=self._configuration.version,
+            settled=self._confirmation.settled,
+            confirmed=now < self._confirmation.valid_until(now),
+            confirmation_age=None if math.isinf(confirmed_at) else round(now - confirmed_at, 3),
+            leaving=self._app.stopping,
+            members=tuple(sorted(member.vm for member in members)),
+            groups=tuple(
+                GroupStatus(
+                    group=record.group,
+                    term=record.term,
+                    revision=record.revision,
+                    primary=record.primary,
+                    draining=record.draining,
+                )
+                for record in sorted(self._directory.records, key=lambda record: record.group)
+            ),
+        )
+
+
+def setup(app: application.Application) -> None:
+    """Register the status for operators."""
+    app.add_part("endpoint", PATH, lambda app: StatusEndpoint(app=app))
--- a/src/greengageshunt/frontends/http.py
+++ b/src/greengageshunt/frontends/http.py
@@ -130,6 +130,8 @@
         web_app.router.add_post("/v1/routes/{route}", self._run_route)
         web_app.router.add_get("/healthz", self._health)
         web_app.router.add_get("/readyz", self._ready)
+        for path in self._app.registry.names("endpoint"):
+            web_app.router.add_get(path, self._app.part("endpoint", path))
         self._runner = web.AppRunner(web_app, access_log=None, handle_signals=False)
         await self._runner.setup()
         host, _, port = self._app.settings["http.address"].rpartition(":")
--- a/src/greengageshunt/groups/directory.py
+++ b/src/greengageshunt/groups/directory.py
@@ -85,15 +85,14 @@
         return self._statuses.get(target)
 
     def learn_record(self, record: model.GroupRecord, source: str) -> bool:
-        """Take over a record unless a newer term is known; return whether it changed.
+        """Take over a record if it is newer than the known one; return whether it is.
 
-        A record of the same term replaces the known one only when it comes from
-        the platform, which also changes draining targets within a term.
+        The order is the term, then the revision, whatever the source: a stale
+        read of the platform cannot undo a change, and a change within a term
+        also reaches entry VMs that learn of it from a peer only.
         """
         known = self._records.get(record.group)
-        if known == record or (known and record.term < known.term):
-            return False
-        if known and record.term == known.term and source != "platform":
+        if known and record.order <= known.order:
             return False
         self._records[record.group] = record
         logs.log_decision(
@@ -101,7 +100,9 @@
             "adopt-group",
             group=record.group,
             term=record.term,
+            revision=record.revision,
             primary=record.primary,
+            draining=list(record.draining),
             source=source,
         )
         self._app.events.emit("group-changed", record)
--- a/src/greengageshunt/membership/confirmation.py
+++ b/src/greengageshunt/membership/confirmation.py
@@ -1,14 +1,27 @@
 """Confirmation: when this entry VM last knew that nothing newer was in force.
 
 An entry VM that neither the platform nor a majority of the entry VMs has
-confirmed for too long may miss a withdrawn key or a moved share.
+confirmed for too long may miss a withdrawn key or a moved share. The argument
+for the bound is in docs/decisions/confirmation.md.
 """
 
+import logging
 import math
 from collections import abc
+from typing import Any
 
-from greengageshunt import application
-from greengageshunt.peers import messages
+from greengageshunt import application, logs
+
+logger = logging.getLogger(__name__)
+
+# Seconds for which a confirmation holds. The bound for a withdrawn key is 5 s;
+# the rest is for the way from the check of the key to the start of the statement.
+CONFIRMATION_LIMIT = 4.0
+
+
+def majority(member_count: int) -> int:
+    """Return the number of entry VMs that form a majority."""
+    return member_count // 2 + 1
 
 
 def majority_confirmed_at(peers: abc.Iterable[float], member_count: int, now: float) -> float:
@@ -24,35 +37,75 @@
         Monotonic seconds, or negative infinity without a majority.
     """
     newest = sorted([now, *peers], reverse=True)
-    majority = member_count // 2 + 1
-    return newest[majority - 1] if len(newest) >= majority else -math.inf
+    needed = majority(member_count)
+    return newest[needed - 1] if len(newest) >= needed else -math.inf
 
 
 class Confirmation:
-    """Remembers when the platform and each peer last confirmed the configuration."""
+    """Remembers when the platform and each peer last confirmed the configuration.
+
+    A restarted entry VM has forgotten what it had adopted, so that a version
+    may have lost one of the entry VMs that made it accepted. Until the entry VM
+    is *settled*, it neither relies on peers nor counts for them. It is settled
+    once the platform, or a majority of the listed entry VMs without itself that
+    are settled, has answered that it has nothing newer.
+    """
 
     def __init__(self, *, app: application.Application) -> None:
         self._view = app.part("membership", "view")
         self._configuration = app.part("configuration", "state")
         self._platform_at = -math.inf
         self._peers: dict[str, float] = {}
+        self._settled = False
         app.events.connect("configuration-read", self._note_platform)
-        app.events.connect("peer-answered", self._note_peer)
+        app.part("peers", "links").add_extra("confirmation", self._report, self._note_peer)
+
+    @property
+    def settled(self) -> bool:
+        """Whether this entry VM has caught up with all accepted versions since its start."""
+        return self._settled
 
     def confirmed_at(self, now: float) -> float:
         """Return the monotonic seconds at which nothing newer was in force."""
+        if not self._settled:
+            return -math.inf
+        return max(self._platform_at, self._majority_at(now))
+
+    def valid_until(self, now: float) -> float:
+        """Return the monotonic seconds until which keys may be relied on."""
+        return self.confirmed_at(now) + CONFIRMATION_LIMIT
+
+    def _majority_at(self, now: float) -> float:
+        if not self._view.listed:
+            return -math.inf
+        return majority_confirmed_at(self._listed_peers(), len(self._view.members), now)
+
+    def _listed_peers(self) -> list[float]:
         listed = {member.vm for member in self._view.peers}
-        peers = [sent_at for vm, sent_at in self._peers.items() if vm in listed]
-        majority_at = majority_confirmed_at(peers, len(self._view.members), now)
-        return max(self._platform_at, majority_at)
+        return [sent_at for vm, sent_at in self._peers.items() if vm in listed]
+
+    def _report(self) -> dict[str, Any]:
+        return {"version": self._configuration.version, "settled": self._settled}
 
     def _note_platform(self, sent_at: float) -> None:
         self._platform_at = max(self._platform_at, sent_at)
+        if self._configuration.version:
+            self._settle("platform")
 
-    def _note_peer(self, answered: messages.PeerAnswered) -> None:
+    def _note_peer(self, vm: str, value: Any, sent_at: float) -> None:
         # A peer with a newer version contradicts the own one instead of confirming it.
-        if answered.ack.configuration_version <= self._configuration.version:
-            self._peers[answered.ack.vm] = answered.sent_at
+        if not value["settled"] or value["version"] > self._configuration.version:
+            return
+        self._peers[vm] = max(sent_at, self._peers.get(vm, -math.inf))
+        needed = majority(len(self._view.members))
+        if self._view.listed and len(self._listed_peers()) >= needed:
+            self._settle("peers")
+
+    def _settle(self, source: str) -> None:
+        if self._settled:
+            return
+        self._settled = True
+        logs.log_decision(logger, "settle", version=self._configuration.version, source=source)
 
 
 def setup(app: application.Application) -> None:
--- a/src/greengageshunt/membership/view.py
+++ b/src/greengageshunt/membership/view.py
@@ -14,6 +14,16 @@
         self._members: dict[str, model.Member] = {me.vm: me}
         self._last_answer: dict[str, float] = {}
         self._leaving: set[str] = set()
+        self._listed = False
+
+    @property
+    def listed(self) -> bool:
+        """Whether a list of entry VMs was read, from the platform or a peer.
+
+        Before that, the own entry VM is the only member known, which says
+        nothing of a majority.
+        """
+        return self._listed
 
     @property
     def me(self) -> model.Member:
@@ -42,7 +52,8 @@
         """
         members = {member.vm: member for member in listed}
         members[self._me.vm] = self._me
-        changed = members != self._members
+        changed = members != self._members or not self._listed
+        self._listed = True
         self._members = members
         return changed
 
--- a/src/greengageshunt/model.py
+++ b/src/greengageshunt/model.py
@@ -4,6 +4,7 @@
 import enum
 import functools
 from collections import abc
+from typing import Any
 
 # A value of a statement parameter or of an answer's column.
 Value = str | int | float | bool | None
@@ -79,6 +80,8 @@
         targets: All targets.
         history: Start of each term, in rising order.
         draining: Names of targets that get no new work.
+        revision: Number that rises with each change within the term.
+        requested_primary: Target that operators want as the primary, or an empty string.
     """
 
     group: str
@@ -87,6 +90,21 @@
     targets: tuple[Target, ...]
     history: tuple[TermStart, ...]
     draining: tuple[str, ...] = ()
+    revision: int = 0
+    requested_primary: str = ""
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Term and revision; of two records of a group, the higher one is newer."""
+        return (self.term, self.revision)
+
+    def changed(self, **fields: Any) -> "GroupRecord":
+        """Return the next revision of the record, with other fields.
+
+        Each write of a group row goes through this, so that a reader recognises
+        a stale copy of the row.
+        """
+        return dataclasses.replace(self, revision=self.revision + 1, **fields)
 
     def target(self, name: str) -> Target | None:
         """Return the target of this name, or None."""
@@ -225,12 +243,15 @@
         failure_domain: Failure domain that holds the entry VM.
         peer_address: ``host:port`` of its peer server.
         leaving: Whether the entry VM takes no new work.
+        http_address: ``host:port`` on which it serves callers and its status, or
+            an empty string if the platform's list does not tell.
     """
 
     vm: str
     failure_domain: str
     peer_address: str
     leaving: bool = False
+    http_address: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/greengageshunt/peers/messages.py
+++ b/src/greengageshunt/peers/messages.py
@@ -76,6 +76,9 @@
         weight: Weight of the client account.
         priority: Priority of the route.
         timeout: Seconds that the caller still waits, from the sending.
+        valid_for: Seconds from the sending after which the check of the caller's
+            key no longer holds and the statement must not start; infinite
+            without a key.
         transaction: Id of the open transaction, or an empty string.
         trace: Request id for log lines.
     """
@@ -86,6 +89,7 @@
     weight: float
     priority: model.Priority
     timeout: float
+    valid_for: float
     transaction: str
     trace: str
 
@@ -120,6 +124,28 @@
     vm: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigurationRequest:
+    """Asks a peer for its configuration if that is newer than a version."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ConfigurationOffer:
+    """Hands a configuration to a peer, unasked or as the answer to a request.
+
+    Attributes:
+        vm: Offering entry VM.
+        configuration: Configuration in force there.
+        members: Entry VMs that it has listed; empty if it has no list.
+    """
+
+    vm: str
+    configuration: model.Configuration
+    members: tuple[model.Member, ...]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Acknowledged:
     """Answer to a message that has no result of its own."""
@@ -164,4 +190,16 @@
         register(kind)
 
 
-_register_all((Heartbeat, HeartbeatAck, Execute, Executed, Failed, Leaving, Acknowledged))
+_register_all(
+    (
+        Heartbeat,
+        HeartbeatAck,
+        Execute,
+        Executed,
+        Failed,
+        Leaving,
+        ConfigurationRequest,
+        ConfigurationOffer,
+        Acknowledged,
+    )
+)
--- a/src/greengageshunt/platforms/http.py
+++ b/src/greengageshunt/platforms/http.py
@@ -9,7 +9,9 @@
 
 from greengageshunt import application, codec, config, errors, model
 
-REQUEST_TIMEOUT = 1.0  # seconds
+# Seconds. Below the 4 s for which a confirmation holds, so that a platform that
+# takes this long to answer still confirms without a gap.
+REQUEST_TIMEOUT = 3.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -37,10 +39,11 @@
 class HttpPlatform:
     """Reads and writes rows and objects, and lists entry VMs."""
 
-    def __init__(self, *, address: str, vm: str) -> None:
+    def __init__(self, *, address: str, vm: str, timeout: float = REQUEST_TIMEOUT) -> None:
         self._base = f"http://{address}"
         self._address = address
         self._vm = vm
+        self._timeout = timeout
         self._session: aiohttp.ClientSession | None = None
 
     @property
@@ -128,7 +131,7 @@
         headers: abc.Mapping[str, str] | None = None,
     ) -> tuple[int, abc.Mapping[str, str], bytes]:
         if self._session is None:
-            timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT)
+            timeout = aiohttp.ClientTimeout(total=self._timeout)
             self._session = aiohttp.ClientSession(timeout=timeout, headers={"Vm": self._vm})
         step = f"{method} {path}"
         try:
@@ -163,10 +166,21 @@
             check=config.is_address,
         )
     )
+    app.add_setting(
+        config.Setting(
+            key="platform.timeout",
+            kind=float,
+            default=REQUEST_TIMEOUT,
+            doc="Seconds after which a request to the platform counts as failed.",
+            check=config.is_positive,
+        )
+    )
     app.add_part(
         "platform",
         "http",
         lambda app: HttpPlatform(
-            address=app.settings["platform.address"], vm=app.settings["vm.name"]
+            address=app.settings["platform.address"],
+            vm=app.settings["vm.name"],
+            timeout=app.settings["platform.timeout"],
         ),
     )
--- a/src/greengageshunt/platforms/polling.py
+++ b/src/greengageshunt/platforms/polling.py
@@ -2,21 +2,28 @@
 
 import asyncio
 import logging
+import math
 from collections import abc
 
 from greengageshunt import application, codec, errors, model
+from greengageshunt.configuration import pointer
 
 logger = logging.getLogger(__name__)
 
+# Takes the monotonic seconds of its start; returns whether the answer is current.
+Read = abc.Callable[[float], abc.Awaitable[bool]]
+
 POLL_INTERVAL = 0.5  # seconds
 
-CONFIGURATION_ROW = "configuration/current"
-GROUP_PREFIX = "groups/"
+# Reads of one kind that wait for their answers at the same time. A slow platform
+# delays each answer but not the next read, so the age of what is known stays
+# near the delay.
+READS_IN_FLIGHT = 6
 
+GROUP_PREFIX = "groups/"
 
-def configuration_object(version: int) -> str:
-    """Return the name of the object that holds a configuration version."""
-    return f"configuration/{version}"
+CONFIGURATION_ROW = pointer.CONFIGURATION_ROW
+configuration_object = pointer.configuration_object
 
 
 class PlatformPoller:
@@ -31,6 +38,7 @@
         self._view = app.part("membership", "view")
         self._directory = app.part("groups", "directory")
         self._configuration = app.part("configuration", "state")
+        self._list_sent_at = -math.inf
 
     async def run(self) -> None:
         """Poll until cancelled."""
@@ -39,32 +47,52 @@
             group.create_task(self._poll("groups", self._read_groups))
             group.create_task(self._poll("vms", self._read_vms))
 
-    async def _poll(self, step: str, read: abc.Callable[[], abc.Awaitable[None]]) -> None:
-        while True:
-            started_at = self._app.clock()
-            try:
-                await read()
-                self._app.events.emit(f"{step}-read", started_at)
-            except (errors.PlatformError, ValueError) as error:
-                logger.warning("platform poll failed", extra={"step": step, "reason": str(error)})
-            await asyncio.sleep(POLL_INTERVAL)
-
-    async def _read_configuration(self) -> None:
-        row = await self._platform.get_row(CONFIGURATION_ROW)
-        if row is None or row.value["version"] <= self._configuration.version:
-            return
-        data = await self._platform.get_object(configuration_object(row.value["version"]))
-        if data is None:
-            raise ValueError(f"configuration {row.value['version']} has no object")
-        self._configuration.adopt(codec.from_json(data, model.Configuration), "platform")
-
-    async def _read_groups(self) -> None:
+    async def _poll(self, step: str, read: Read) -> None:
+        running: set[asyncio.Task[None]] = set()
+        async with asyncio.TaskGroup() as group:
+            while True:
+                if len(running) < READS_IN_FLIGHT:
+                    task = group.create_task(self._read_once(step, read))
+                    running.add(task)
+                    task.add_done_callback(running.discard)
+                await asyncio.sleep(POLL_INTERVAL)
+
+    async def _read_once(self, step: str, read: Read) -> None:
+        sent_at = self._app.clock()
+        try:
+            if await read(sent_at):
+                self._app.events.emit(f"{step}-read", sent_at)
+        except (errors.PlatformError, ValueError) as error:
+            logger.warning("platform poll failed", extra={"step": step, "reason": str(error)})
+
+    async def _read_configuration(self, sent_at: float) -> bool:
+        """Adopt what the platform points to; return whether that is in force here now.
+
+        A pointer below the version in force was read before that version was
+        stored and confirms nothing.
+        """
+        found = await pointer.read(self._platform)
+        if found is None:
+            return False
+        if found.value.version > self._configuration.version:
+            configuration = await pointer.load(self._platform, found.value)
+            self._configuration.adopt(configuration, "platform")
+        return found.value.version == self._configuration.version
+
+    async def _read_groups(self, sent_at: float) -> bool:
         for row in await self._platform.list_rows(GROUP_PREFIX):
             self._directory.learn_record(codec.from_plain(row.value, model.GroupRecord), "platform")
-
-    async def _read_vms(self) -> None:
-        if self._view.replace(await self._platform.list_vms()):
+        return True
+
+    async def _read_vms(self, sent_at: float) -> bool:
+        listed = await self._platform.list_vms()
+        if not listed or sent_at < self._list_sent_at:
+            # An empty list would make the own entry VM a majority by itself.
+            return False
+        self._list_sent_at = sent_at
+        if self._view.replace(listed):
             self._app.events.emit("members-changed", self._view.members)
+        return True
 
 
 def setup(app: application.Application) -> None:
--- a/src/greengageshunt/programs/proxy.py
+++ b/src/greengageshunt/programs/proxy.py
@@ -18,6 +18,8 @@
     "greengageshunt.peers.server",
     "greengageshunt.peers.links",
     "greengageshunt.membership.confirmation",
+    "greengageshunt.configuration.exchange",
+    "greengageshunt.configuration.status",
     "greengageshunt.proxy.owner",
     "greengageshunt.proxy.service",
     "greengageshunt.frontends.http",
--- a/src/greengageshunt/proxy/owner.py
+++ b/src/greengageshunt/proxy/owner.py
@@ -96,12 +96,34 @@
             queued_at=received_at,
         )
         if not message.work.write:
-            answer = await self._run(target, entry, message.work, ledger.read)
+            read = self._checked_at_start(ledger.read, message, received_at)
+            answer = await self._run(target, entry, message.work, read)
             return _executed(answer, math.inf)
         self._check_grant(record, message)
-        answer = await self._run(target, entry, message.work, ledger.write)
+        write = self._checked_at_start(ledger.write, message, received_at)
+        answer = await self._run(target, entry, message.work, write)
         return await self._acknowledge(record, message, answer, received_at)
 
+    def _checked_at_start(
+        self, operation: Operation, message: messages.Execute, received_at: float
+    ) -> Operation:
+        """Return an operation that checks again after the wait for a slot.
+
+        While a request waits, its key may be withdrawn and its target drained.
+        """
+
+        async def run(connection: Any, work: model.Work, now: float) -> model.Answer:
+            if self._app.clock() >= received_at + message.valid_for:
+                raise refused(
+                    "check_expired",
+                    "the request waited longer than the check of its key holds",
+                    message.target,
+                )
+            self._find(message)
+            return await operation(connection, work, now)
+
+        return run
+
     async def _run(
         self,
         target: model.Target,
--- a/src/greengageshunt/proxy/service.py
+++ b/src/greengageshunt/proxy/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import uuid
 from typing import Any, TypeVar
 
@@ -21,7 +22,16 @@
 
 # Refusals of requests that did not run, after which another try may reach the
 # new primary, the new owner or another replica.
-_TRY_AGAIN = frozenset({"term_changed", "no_grant", "owner_unreachable", "target_lost"})
+_TRY_AGAIN = frozenset(
+    {
+        "check_expired",
+        "no_grant",
+        "owner_unreachable",
+        "target_draining",
+        "target_lost",
+        "term_changed",
+    }
+)
 
 # A target counts as live if it was checked within this many seconds.
 LIVE_DEADLINE = 1.0
@@ -63,6 +73,7 @@
         self._directory = app.part("groups", "directory")
         self._view = app.part("membership", "view")
         self._links = app.part("peers", "links")
+        self._confirmation = app.part("membership", "confirmation")
         self._owner = app.part("proxy", "owner")
         self._admission = app.selected("admission")
         self._choose = app.selected("routing")
@@ -112,7 +123,7 @@
         if not request.request_id:
             # Own ids let the proxy look up the outcome of a write whose answer was lost.
             request = dataclasses.replace(request, request_id=uuid.uuid4().hex)
-        account = _unwrap(keys.authenticate(configuration, route, request.key))
+        account = self._authenticate(request, route, self._app.clock())
         session = _unwrap(token.decode(request.token, account, configuration.token_secret))
         await self._admit(configuration, account, request)
         answer = await self._execute(request, route, account, session)
@@ -120,6 +131,24 @@
         text = token.encode(session, configuration.token_secret)
         return result.Success(model.CallerAnswer(answer=answer, token=text))
 
+    def _authenticate(self, request: model.CallerRequest, route: model.Route, now: float) -> str:
+        """Return the client account of a request under the configuration in force.
+
+        Raises:
+            RefusedError: The key is not valid, or this entry VM cannot tell
+                because it may have missed a newer configuration.
+        """
+        account = _unwrap(keys.authenticate(self._configuration.current, route, request.key))
+        if account and now >= self._confirmation.valid_until(now):
+            raise refusal(
+                "not_confirmed",
+                "neither the platform nor a majority of the entry VMs has confirmed the"
+                " configuration lately; only open routes without a key are served",
+                "authenticate",
+                peer=self._view.me.vm,
+            )
+        return account
+
     async def _admit(
         self, configuration: model.Configuration, account: str, request: model.CallerRequest
     ) -> None:
@@ -181,6 +210,9 @@
         session: token.Session,
         now: float,
     ) -> model.Answer:
+        # The request may have been held since the first check.
+        if self._authenticate(request, route, now) != account:
+            raise refusal("key_unknown", "the key has another client account now", "authenticate")
         record = self._directory.record(route.group)
         if record is None:
             raise refusal("group_unknown", f"no group {route.group!r}", "route")
@@ -254,6 +286,7 @@
             weight=known.weight if known else 1.0,
             priority=route.priority,
             timeout=request.deadline - now,
+            valid_for=self._confirmation.valid_until(now) - now if account else math.inf,
             transaction=request.transaction,
             trace=request.request_id,
         )
--- a/src/greengageshunt/standins/layout.py
+++ b/src/greengageshunt/standins/layout.py
@@ -154,6 +154,7 @@
             vm=f"vm-{number + 1}",
             failure_domain=domains[number % len(domains)],
             peer_address=_address(port + 1),
+            http_address=_address(port),
         )
         vms.append(
             EntryVm(
@@ -190,5 +191,5 @@
     return (
         f'[vm]\nname = "{vm.member.vm}"\n'
         f'failure_domain = "{vm.member.failure_domain}"\n'
-        f'[platform]\naddress = "{layout.platform_address}"\n'
+        f'[platform]\naddress = "{layout.platform_address}"\ntimeout = 1.0\n'
     )
--- a/src/greengageshunt/standins/platform.py
+++ b/src/greengageshunt/standins/platform.py
@@ -5,7 +5,11 @@
 * ``down``: answer each request with 503.
 * ``delay``: seconds to wait before each answer.
 * ``drop_answers``: number of next writes that take effect without an answer.
+* ``drop_prefix``: beginning of the paths to which ``drop_answers`` applies.
 * ``cut_vms``: names of entry VMs whose requests get no answer.
+
+``PUT /control/vms`` sets the list of entry VMs; with ``?vm=NAME``, only what
+that entry VM gets, as a list that lags or a relay between peers needs it.
 """
 
 import asyncio
@@ -24,6 +28,7 @@
     down: bool = False
     delay: float = 0.0
     drop_answers: int = 0
+    drop_prefix: str = "/"
     cut_vms: tuple[str, ...] = ()
 
 
@@ -42,6 +47,7 @@
         self._rows: dict[str, StoredRow] = {}
         self._objects: dict[str, bytes] = {}
         self._vms: list[dict[str, Any]] = []
+        self._vms_for: dict[str, list[dict[str, Any]]] = {}
         self._faults = Faults()
         self._reads = 0
         self._writes = 0
@@ -72,7 +78,8 @@
         if self._faults.down:
             return web.Response(status=503)
         response = await handler(request)
-        if request.method == "PUT" and self._faults.drop_answers > 0:
+        dropped = request.method == "PUT" and request.path.startswith(self._faults.drop_prefix)
+        if dropped and self._faults.drop_answers > 0:
             remaining = self._faults.drop_answers - 1
             self._faults = dataclasses.replace(self._faults, drop_answers=remaining)
             request.transport.abort()
@@ -124,10 +131,14 @@
 
     async def _get_vms(self, request: web.Request) -> web.Response:
         self._reads += 1
-        return web.json_response(self._vms)
+        return web.json_response(self._vms_for.get(request.headers.get("Vm", ""), self._vms))
 
     async def _set_vms(self, request: web.Request) -> web.Response:
-        self._vms = await request.json()
+        listed = await request.json()
+        if "vm" in request.query:
+            self._vms_for[request.query["vm"]] = listed
+        else:
+            self._vms = listed
         return web.Response(status=200)
 
     async def _set_faults(self, request: web.Request) -> web.Response:
