--- a/src/greengageshunt/commands/group.py
+++ b/src/greengageshunt/commands/group.py
@@ -64,13 +64,11 @@
 
 
 def _drained(record: model.GroupRecord, target: str) -> result.Result[model.GroupRecord, str]:
-    if target == record.primary:
-        return result.Failure(
-            f"{target} is the primary of {record.group};"
-            f" promote another target first: group promote {record.group} TARGET"
-        )
     if target in record.draining:
         return result.Success(record)
+    others = {other.name for other in record.targets} - {target, *record.draining}
+    if not others:
+        return result.Failure(f"{record.group} has no other target that takes work")
     if target == record.requested_primary:
         return result.Failure(f"{target} is requested as the primary of {record.group}")
     return result.Success(record.changed(draining=(*record.draining, target)))
@@ -105,7 +103,7 @@
 
 
 async def drain(context: command.Context) -> command.Outcome:
-    """Give a target no new work."""
+    """Give a target no new work; the failover daemons replace a primary."""
     return await _change_target(context, _drained, "draining")
 
 
@@ -119,9 +117,10 @@
         return result.Failure(f"{record.group} has no target {target!r}")
     if target in record.draining:
         return result.Failure(f"{target} is draining; undrain it first")
-    if target in (record.primary, record.requested_primary):
+    requested = "" if target == record.primary else target
+    if requested == record.requested_primary:
         return result.Success(record)
-    return result.Success(record.changed(requested_primary=target))
+    return result.Success(record.changed(requested_primary=requested))
 
 
 async def promote(context: command.Context) -> command.Outcome:
@@ -216,7 +215,7 @@
         command.Command(
             group="target",
             name="drain",
-            help="Give a replica no new work, before it leaves.",
+            help="Give a target no new work, before it leaves; a primary is replaced first.",
             examples=("target drain order-desk-1-c",),
             run=drain,
             add_arguments=_add_target,
--- a/src/greengageshunt/peers/messages.py
+++ b/src/greengageshunt/peers/messages.py
@@ -146,6 +146,19 @@
     members: tuple[model.Member, ...]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GroupChanged:
+    """Tells of a group's new record.
+
+    Attributes:
+        sender: Entry VM or failover daemon that decided the record.
+        record: The record.
+    """
+
+    sender: str
+    record: model.GroupRecord
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Acknowledged:
     """Answer to a message that has no result of its own."""
@@ -198,6 +211,7 @@
         Executed,
         Failed,
         Leaving,
+        GroupChanged,
         ConfigurationRequest,
         ConfigurationOffer,
         Acknowledged,
--- a/src/greengageshunt/platforms/writes.py
+++ b/src/greengageshunt/platforms/writes.py
@@ -53,19 +53,19 @@
                 if (row.etag if row else None) != etag:
                     return result.Failure(Conflict(key=key))
             answer = await platform.put_row(key, value, etag)
-        except errors.PlatformError:
-            # The write may have taken effect, or may still do so.
-            uncertain = True
+        except errors.PlatformError as error:
             if attempt == ATTEMPTS:
-                raise
+                raise _unknown(error) from error
             await asyncio.sleep(RETRY_DELAY)
-            continue
-        if hasattr(answer, "etag"):
-            return result.Success(answer)
-        # The conflict may be with the own earlier attempt, also with one that the
-        # HTTP client repeated by itself after the connection was lost.
-        row = await platform.get_row(key)
-        if row is not None and row.value == value:
-            return result.Success(row)
-        return result.Failure(Conflict(key=key))
-    raise AssertionError("the last attempt returns or raises")
+        else:
+            if hasattr(answer, "etag"):
+                return result.Success(answer)
+        # The write may have taken effect, or may still do so. A conflict may be with
+        # the own earlier attempt, also with one that the HTTP client repeated by
+        # itself after the connection was lost.
+        uncertain = True
+    return result.Failure(Conflict(key=key))
+
+
+def _unknown(error: errors.PlatformError) -> errors.PlatformError:
+    return errors.PlatformError(str(error), step=error.step, peer=error.peer, effect_unknown=True)
--- a/src/greengageshunt/programs/proxy.py
+++ b/src/greengageshunt/programs/proxy.py
@@ -12,6 +12,7 @@
     "greengageshunt.platforms.polling",
     "greengageshunt.groups.monitor",
     "greengageshunt.failover.grants",
+    "greengageshunt.failover.supersession",
     "greengageshunt.scheduling.fifo",
     "greengageshunt.routing.position",
     "greengageshunt.admission.static_split",
@@ -20,9 +21,11 @@
     "greengageshunt.membership.confirmation",
     "greengageshunt.configuration.exchange",
     "greengageshunt.configuration.status",
+    "greengageshunt.groups.spread",
     "greengageshunt.proxy.owner",
     "greengageshunt.proxy.service",
     "greengageshunt.frontends.http",
+    "greengageshunt.metrics.page",
 )
 
 
--- a/src/greengageshunt/proxy/owner.py
+++ b/src/greengageshunt/proxy/owner.py
@@ -19,6 +19,9 @@
 REPLICATION_WAIT = 0.5  # seconds for a second target to copy a commit
 RECONCILE_INTERVAL = 0.2  # seconds
 
+# SQLSTATE of a target that a higher term has fenced; the write was not applied.
+NOT_PRIMARY = "25006"
+
 
 # Runs a statement on a connection; takes the present time.
 Operation = abc.Callable[[Any, model.Work, float], abc.Awaitable[model.Answer]]
@@ -50,11 +53,17 @@
         self._view = app.part("membership", "view")
         self._directory = app.part("groups", "directory")
         self._grants = app.part("failover", "grants")
+        self._term_work = app.part("failover", "term-work")
         self._invariants = app.part("invariants", "default")
         self._pools: dict[str, pool.TargetPool] = {}
         self._watches: dict[str, replication.ReplicationWatch] = {}
         app.part("peers", "server").add_handler(messages.Execute, self.execute)
 
+    @property
+    def open_connections(self) -> int:
+        """Number of open pooled connections to owned targets."""
+        return sum(held.open_connections for held in self._pools.values())
+
     def waits(self) -> dict[str, float]:
         """Return the seconds that a new request would wait, by owned target."""
         return {name: held.expected_wait for name, held in self._pools.items()}
@@ -97,11 +106,11 @@
         )
         if not message.work.write:
             read = self._checked_at_start(ledger.read, message, received_at)
-            answer = await self._run(target, entry, message.work, read)
+            answer = await self._run(record, target, entry, message.work, read)
             return _executed(answer, math.inf)
         self._check_grant(record, message)
         write = self._checked_at_start(ledger.write, message, received_at)
-        answer = await self._run(target, entry, message.work, write)
+        answer = await self._run(record, target, entry, message.work, write)
         return await self._acknowledge(record, message, answer, received_at)
 
     def _checked_at_start(
@@ -126,16 +135,25 @@
 
     async def _run(
         self,
+        record: model.GroupRecord,
         target: model.Target,
         entry: entry_module.Entry,
         work: model.Work,
         operation: Operation,
     ) -> model.Answer:
+        def run(job: abc.Callable[[Any], abc.Awaitable[model.Answer]]) -> Any:
+            return self.pool_of(target).run(entry, job)
+
+        def job(connection: Any) -> abc.Awaitable[model.Answer]:
+            return operation(connection, work, self._app.clock())
+
         try:
-            return await self.pool_of(target).run(
-                entry, lambda connection: operation(connection, work, self._app.clock())
-            )
+            if target.name == record.primary:
+                return await self._term_work.run(record, run, job)
+            return await run(job)
         except errors.TargetError as error:
+            if error.code == NOT_PRIMARY:
+                raise refused("term_changed", str(error), target.name) from error
             if error.code:
                 raise refused("statement_rejected", str(error), target.name) from error
             if not error.sent or not work.write:
@@ -149,15 +167,22 @@
         answer: model.Answer,
         received_at: float,
     ) -> messages.Executed:
+        committed_at = self._app.clock()
         replicated = await self._watches[message.target].wait(
             answer.position.offset, REPLICATION_WAIT
         )
         answer = dataclasses.replace(answer, replicated=replicated)
-        grant = self._grants.grant(record.group)
-        if grant.term != message.work.term or grant.expires_at <= self._app.clock():
+        if not replicated and not self._grants.primary_checked_since(message.target, committed_at):
+            # A primary that failed before a second target had the commit takes it along.
+            raise unknown("primary_lost", "the primary failed after the commit", message.target)
+        term = message.work.term
+        grant = self._grants.acknowledge(
+            record.group, term, answer.position.term, self._app.clock()
+        )
+        if grant is None:
             raise unknown(
                 "grant_expired",
-                f"the write grant of term {message.work.term} ended before the acknowledgement",
+                f"the write grant of term {term} ended before the acknowledgement",
                 message.target,
             )
         return _executed(answer, grant.expires_at - received_at)
