--- a/src/greengageshunt/programs/proxy.py
+++ b/src/greengageshunt/programs/proxy.py
@@ -19,6 +19,8 @@
     "greengageshunt.peers.server",
     "greengageshunt.peers.links",
     "greengageshunt.membership.confirmation",
+    "greengageshunt.configuration.exchange",
+    "greengageshunt.configuration.status",
     "greengageshunt.groups.spread",
     "greengageshunt.proxy.owner",
     "greengageshunt.proxy.service",
