Check one primary per term before the order of records

The order by term and revision, added for changes within a term, returned before the invariant was checked, so a second primary of a known term went unnoticed unless its record also had a higher revision.

--- a/src/greengageshunt/groups/directory.py
+++ b/src/greengageshunt/groups/directory.py
@@ -98,9 +98,7 @@
         also reaches entry VMs that learn of it from a peer only.
         """
         known = self._records.get(record.group)
-        if known and record.order <= known.order:
-            return False
-        consistent = known is None or known.term < record.term or known.primary == record.primary
+        consistent = known is None or known.term != record.term or known.primary == record.primary
         self._invariants.check(
             "one-primary-per-term",
             consistent,
@@ -109,7 +107,7 @@
             primary=record.primary,
             source=source,
         )
-        if not consistent:
+        if not consistent or (known and record.order <= known.order):
             return False
         self._records[record.group] = record
         self._groups.update({target.name: record.group for target in record.targets})
