--- a/src/greengageshunt/failover/rows.py
+++ b/src/greengageshunt/failover/rows.py
@@ -43,7 +43,7 @@
             return stored
         if stored.intent and stored.intent.term >= intent.term and stored.intent != intent:
             return stored
-        wanted = codec.to_plain(dataclasses.replace(stored, intent=intent))
+        wanted = codec.to_plain(stored.changed(intent=intent))
         if isinstance(await platform.put_row(row.key, wanted, row.etag), http.Row):
             return None
 
--- a/src/greengageshunt/model.py
+++ b/src/greengageshunt/model.py
@@ -5,6 +5,7 @@
 import functools
 import math
 from collections import abc
+from typing import Any
 
 # A value of a statement parameter or of an answer's column.
 Value = str | int | float | bool | None
@@ -95,6 +96,7 @@
         draining: Names of targets that get no new work.
         intent: Promotion that was announced last and is not complete, or None.
         requested_primary: Target that an operator wants as primary, or an empty string.
+        revision: Number that rises with each change within the term.
     """
 
     group: str
@@ -105,6 +107,20 @@
     draining: tuple[str, ...] = ()
     intent: Intent | None = None
     requested_primary: str = ""
+    revision: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Term and revision; of two records of a group, the higher one is newer."""
+        return (self.term, self.revision)
+
+    def changed(self, **fields: Any) -> "GroupRecord":
+        """Return the next revision of the record, with other fields.
+
+        Each write of a group row goes through this, so that a reader recognises
+        a stale copy of the row.
+        """
+        return dataclasses.replace(self, revision=self.revision + 1, **fields)
 
     def target(self, name: str) -> Target | None:
         """Return the target of this name, or None."""
@@ -259,12 +275,15 @@
         failure_domain: Failure domain that holds the entry VM.
         peer_address: ``host:port`` of its peer server.
         leaving: Whether the entry VM takes no new work.
+        http_address: ``host:port`` on which it serves callers and its status, or
+            an empty string if the platform's list does not tell.
     """
 
     vm: str
     failure_domain: str
     peer_address: str
     leaving: bool = False
+    http_address: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/test_scheduling/test_gate_cancelled.py
+++ b/tests/test_scheduling/test_gate_cancelled.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from greengageshunt import clock, model
+from greengageshunt import clock, invariants, model
 from greengageshunt.scheduling import entry, fifo, gate
 
 
@@ -19,7 +19,13 @@
 
 async def test_slot_passes_over_a_request_that_was_just_cancelled():
     """Guards against a slot that is lost, and an error for its former holder."""
-    slots = gate.SlotGate(name="t", slots=1, queue=fifo.FifoQueue(), clock=clock.monotonic)
+    slots = gate.SlotGate(
+        name="t",
+        slots=1,
+        queue=fifo.FifoQueue(),
+        clock=clock.monotonic,
+        invariants=invariants.Invariants(strict=True),
+    )
     leave = asyncio.Event()
     served = []
 
