--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -64,7 +64,8 @@
         route = ("booking.place", "booking.count", "booking.browse")[number % 3]
         url = f"http://{addresses[number % len(addresses)]}/v1/routes/{route}"
         headers = {"Authorization": f"Bearer {key}", "Session-Token": session_token}
-        body = {"parameters": {"item": f"pot {number}"}}
+        parameters = {"item": f"pot {number}"} if route == "booking.place" else {}
+        body = {"parameters": parameters}
         began = time.perf_counter()
         async with started.session.post(url, json=body, headers=headers) as response:
             document = await response.json()
--- a/src/greengageshunt/application.py
+++ b/src/greengageshunt/application.py
@@ -17,13 +17,19 @@
 
 ENTRY_POINT_GROUP = "greengageshunt.plugins"
 
+# Seconds for one service to finish what is in progress; open transactions may
+# take 20 s of it.
+STOP_STEP_LIMIT = 25.0
+
 
 class Application:
     """Holds what the plug-ins of one program register, and runs its services.
 
     A service is the only part that runs by itself. Its factory takes the
     application and returns an object with ``async run()``, which ends when the
-    application stops, and optionally ``async stop()``, which is awaited first.
+    application stops. Before that, two optional methods are awaited: first
+    ``async announce_stop()`` of all services, which tells others of the stop while
+    everything still works, then ``async stop()``, which finishes what is in progress.
     """
 
     def __init__(self, *, name: str, clock: clock_module.Clock = clock_module.monotonic) -> None:
@@ -157,9 +163,19 @@
             await self._stopping.wait()
             logger.info("stopping", extra={"program": self._name})
             # Later services depend on earlier ones, so they stop first.
-            for _, service in reversed(services):
-                if hasattr(service, "stop"):
-                    await service.stop()
+            for step in ("announce_stop", "stop"):
+                for name, service in reversed(services):
+                    await self._stop_step(step, name, service)
             for task in tasks:
                 task.cancel()
         logger.info("stopped", extra={"program": self._name})
+
+    async def _stop_step(self, step: str, name: str, service: Any) -> None:
+        """Run one step of a service's stop; a failure does not keep others from theirs."""
+        if not hasattr(service, step):
+            return
+        try:
+            async with asyncio.timeout(STOP_STEP_LIMIT):
+                await getattr(service, step)()
+        except Exception:
+            logger.exception("stop step failed", extra={"service": name, "step": step})
--- a/src/greengageshunt/drivers/postgresql.py
+++ b/src/greengageshunt/drivers/postgresql.py
@@ -13,6 +13,13 @@
 CONNECT_TIMEOUT = 1.0  # seconds
 STATUS_TIMEOUT = 0.4  # seconds
 
+# Seconds that a cancelled statement has to cancel itself at the target. psycopg
+# alone waits up to 10 s for this, which would keep a silent connection in use.
+CANCEL_TIME = 0.05
+
+# SQLSTATE class "data exception", for values that were rejected before the sending.
+CLIENT_SIDE_REJECTION = "22000"
+
 _STATUS = "SELECT * FROM ggs_status()"
 
 
@@ -50,6 +57,7 @@
     def __init__(self, *, target: model.Target, raw: psycopg.AsyncConnection[Any]) -> None:
         self._target = target
         self._raw = raw
+        self._ending: asyncio.Task[None] | None = None
 
     @property
     def target(self) -> model.Target:
@@ -69,21 +77,37 @@
         Raises:
             TargetError: The target rejected a statement or the connection failed.
         """
+        statement = asyncio.ensure_future(self._execute(sql, parameters))
         try:
-            cursor = await self._raw.execute(sql, parameters)
-            results = [await self._read(cursor)]
-            while cursor.nextset():
-                results.append(await self._read(cursor))
-        except psycopg.Error as error:
-            raise errors.TargetError(
-                str(error).strip(),
-                step=step,
-                peer=self._target.name,
-                sent=not isinstance(error, psycopg.ProgrammingError) or bool(error.sqlstate),
-                code=error.sqlstate or "",
-            ) from error
+            return await asyncio.shield(statement)
+        except asyncio.CancelledError:
+            self._ending = asyncio.create_task(_end(statement))
+            raise
+        except (psycopg.Error, UnicodeError) as error:
+            raise self._error(step, error) from error
+
+    async def _execute(
+        self, sql: str, parameters: abc.Mapping[str, model.Value] | None
+    ) -> tuple[StatementResult, ...]:
+        cursor = await self._raw.execute(sql, parameters)
+        results = [await self._read(cursor)]
+        while cursor.nextset():
+            results.append(await self._read(cursor))
         return tuple(results)
 
+    def _error(self, step: str, error: psycopg.Error | UnicodeError) -> errors.TargetError:
+        sqlstate = getattr(error, "sqlstate", None) or ""
+        rejected_here = not sqlstate and isinstance(
+            error, psycopg.ProgrammingError | psycopg.DataError | UnicodeError
+        )
+        return errors.TargetError(
+            str(error).strip(),
+            step=step,
+            peer=self._target.name,
+            sent=not rejected_here,
+            code=CLIENT_SIDE_REJECTION if rejected_here else sqlstate,
+        )
+
     async def status(self, now: float) -> model.TargetStatus:
         """Return the status of the target.
 
@@ -166,6 +190,8 @@
 
     async def close(self) -> None:
         """Close the connection."""
+        if self._ending is not None:
+            await self._ending
         await self._raw.close()
 
     async def _bounded(
@@ -190,6 +216,15 @@
         return StatementResult(columns=columns, rows=rows, row_count=len(rows))
 
 
+async def _end(statement: asyncio.Future[Any]) -> None:
+    """Cancel a statement until it has let go of its connection."""
+    while not statement.done():
+        statement.cancel()
+        await asyncio.wait({statement}, timeout=CANCEL_TIME)
+    if not statement.cancelled():
+        statement.exception()
+
+
 def read_status(target: str, result: StatementResult, skip: int, now: float) -> model.TargetStatus:
     """Return the status that a row contains after ``skip`` other columns."""
     term, promoter, role, offset, history = result.rows[0][skip:]
--- a/src/greengageshunt/model.py
+++ b/src/greengageshunt/model.py
@@ -23,6 +23,18 @@
     WRITE = "write"
 
 
+class Action(enum.StrEnum):
+    """What the owner of a primary does with a request id.
+
+    ``RUN`` runs the statement at most once; ``REFUSE`` makes sure that it never
+    runs, unless it already did; ``LOOK_UP`` only reads the stored outcome.
+    """
+
+    RUN = "run"
+    REFUSE = "refuse"
+    LOOK_UP = "look_up"
+
+
 class Priority(enum.IntEnum):
     """Order in which a target's slots are given out; lower goes first."""
 
@@ -242,8 +254,11 @@
         parameters: Values of the placeholders.
         write: Whether the statement writes.
         account: Client account on whose behalf it runs; empty on open routes.
-        request_id: Caller's request id, or an empty string.
+        request_id: Id under which the outcome is stored; empty to store none.
         term: Term in which a write must run; 0 for reads.
+        route: Route of the request, part of the stored fingerprint.
+        action: What to do with the request id of a write.
+        after: Position that the target must contain, or None.
     """
 
     statement: str
@@ -252,6 +267,9 @@
     account: str
     request_id: str = ""
     term: int = 0
+    route: str = ""
+    action: Action = Action.RUN
+    after: Position | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -266,6 +284,7 @@
         target: Name of the target.
         replicated: Whether a second target has the commit; True for reads.
         repeated: Whether the answer was looked up from an earlier run.
+        refused: Whether a stored refusal says that the request never runs.
     """
 
     columns: tuple[str, ...]
@@ -275,6 +294,7 @@
     target: str
     replicated: bool = True
     repeated: bool = False
+    refused: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -311,3 +331,26 @@
 
     answer: Answer
     token: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TransactionRequest:
+    """A request to open or to end a transaction.
+
+    Attributes:
+        group: Group of a transaction to open, or an empty string.
+        transaction: Id of the transaction to end, or an empty string.
+        commit: Whether to commit rather than to roll back.
+        key: Caller's key.
+        token: Session token, or an empty string.
+        request_id: Caller's id of a commit, or an empty string.
+        deadline: Monotonic seconds after which the caller no longer waits.
+    """
+
+    group: str
+    transaction: str
+    commit: bool
+    key: str
+    token: str
+    request_id: str
+    deadline: float
--- a/src/greengageshunt/peers/link.py
+++ b/src/greengageshunt/peers/link.py
@@ -40,6 +40,7 @@
         self._correlations = itertools.count(1)
         self._pending: dict[int, asyncio.Future[Any]] = {}
         self._late_answers = 0
+        self._crossed_answers = 0
 
     @property
     def peer(self) -> model.Member:
@@ -56,11 +57,16 @@
         """Number of answers that came when no request waited for them any more."""
         return self._late_answers
 
+    @property
+    def crossed_answers(self) -> int:
+        """Number of answers that were not of the kind that the request expects."""
+        return self._crossed_answers
+
     async def run(self) -> None:
         """Keep the link open until cancelled."""
         while True:
             try:
-                async with client.connect(
+                connection = await client.connect(
                     f"ws://{self._peer.peer_address}",
                     open_timeout=OPEN_TIMEOUT,
                     close_timeout=0.1,
@@ -68,12 +74,22 @@
                     max_size=FRAME_LIMIT,
                     compression=None,
                     proxy=None,
-                ) as connection:
-                    await self._use(connection)
+                )
             except (OSError, TimeoutError, websockets.WebSocketException, ValueError) as error:
-                fields = {"peer": self._peer.vm, "reason": str(error) or type(error).__name__}
-                logger.info("peer link lost", extra=fields)
-            await asyncio.sleep(RECONNECT_DELAY)
+                self._log("peer link refused", error)
+                await asyncio.sleep(RECONNECT_DELAY)
+                continue
+            try:
+                await self._use(connection)
+            except ConnectionResetError as error:
+                self._log("peer link lost", error)
+            finally:
+                # A peer that is silent would not answer the closing handshake.
+                connection.transport.abort()
+
+    def _log(self, message: str, error: Exception) -> None:
+        fields = {"peer": self._peer.vm, "reason": str(error) or type(error).__name__}
+        logger.info(message, extra=fields)
 
     async def request(self, message: Any, timeout: float) -> Any:
         """Send a request and return its answer.
@@ -89,6 +105,8 @@
         step = type(message).__name__
         if self._connection is None:
             raise self._error("the peer link is down", step, sent=False)
+        if timeout <= 0:
+            raise self._error("no time is left", step, sent=False)
         correlation = next(self._correlations)
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._pending[correlation] = future
@@ -104,6 +122,9 @@
             self._pending.pop(correlation, None)
         if isinstance(answer, messages.Failed):
             raise errors.RefusedError(answer.refusal)
+        if not isinstance(answer, messages.ANSWERS.get(type(message), object)):
+            self._crossed_answers += 1
+            raise self._error("the answer is of another kind", step, sent=True)
         return answer
 
     async def _use(self, connection: client.ClientConnection) -> None:
@@ -113,8 +134,10 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._send_heartbeats())
                 group.create_task(self._receive(connection))
-        except* (OSError, TimeoutError, websockets.WebSocketException, ValueError) as error:
-            raise ConnectionResetError(str(error.exceptions[0])) from error
+        except* Exception as error:
+            # Whatever a broken message does to its receiver, only the link closes.
+            first = error.exceptions[0]
+            raise ConnectionResetError(str(first) or type(first).__name__) from error
         finally:
             self._connection = None
             self._fail_pending()
@@ -127,6 +150,8 @@
             future = self._pending.get(correlation)
             if future is None or future.done():
                 self._late_answers += 1
+                fields = {"peer": self._peer.vm, "kind": type(message).__name__}
+                logger.info("late answer dropped", extra=fields)
                 continue
             future.set_result(message)
 
@@ -135,7 +160,7 @@
             sent_at = self._app.clock()
             try:
                 ack = await self.request(self._heartbeat(), SILENCE_DEADLINE)
-            except errors.PeerError as error:
+            except errors.GreengageshuntError as error:
                 raise ConnectionResetError(str(error)) from error
             self._received(ack, sent_at)
             await asyncio.sleep(HEARTBEAT_INTERVAL)
--- a/src/greengageshunt/peers/links.py
+++ b/src/greengageshunt/peers/links.py
@@ -72,7 +72,7 @@
             for task in self._tasks.values():
                 task.cancel()
 
-    async def stop(self) -> None:
+    async def announce_stop(self) -> None:
         """Tell all peers that this entry VM leaves."""
         message = messages.Leaving(vm=self._view.me.vm)
         sends = [self._tell(peer_link, message) for peer_link in self._links.values()]
--- a/src/greengageshunt/peers/messages.py
+++ b/src/greengageshunt/peers/messages.py
@@ -76,8 +76,8 @@
         weight: Weight of the client account.
         priority: Priority of the route.
         timeout: Seconds that the caller still waits, from the sending.
-        transaction: Id of the open transaction, or an empty string.
-        trace: Request id for log lines.
+        transaction: Number of the open transaction at its owner, or an empty string.
+        trace: Request id, repeated in the answer and in log lines.
     """
 
     group: str
@@ -99,11 +99,62 @@
         row_count: Number of rows in ``answer``, repeated as its end marker.
         grant_after_receipt: Seconds from the receipt of the request to the expiry
             of the write grant; infinite for reads.
+        trace: The request's ``trace``, so that a crossed answer is noticed.
     """
 
     answer: model.Answer
     row_count: int
     grant_after_receipt: float
+    trace: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TransactionBegin:
+    """Asks the owner of a primary to open a transaction.
+
+    Attributes:
+        group: Group of the transaction.
+        target: Primary target.
+        term: Term in which the transaction must commit.
+        account: Client account to which it is bound.
+        timeout: Seconds that the caller still waits, from the sending.
+    """
+
+    group: str
+    target: str
+    term: int
+    account: str
+    timeout: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TransactionBegun:
+    """Answer to ``TransactionBegin``.
+
+    Attributes:
+        number: Name of the transaction at its owner.
+    """
+
+    number: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TransactionEnd:
+    """Asks the owner of an open transaction to end it; answered by ``Executed``.
+
+    Attributes:
+        number: Name of the transaction at its owner.
+        commit: Whether to commit or to roll back.
+        work: Client account, request id and fingerprint of the commit.
+        timeout: Seconds that the caller still waits, from the sending.
+        trace: Request id for log lines.
+    """
+
+    number: str
+    commit: bool
+    work: model.Work
+    timeout: float
+    trace: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -128,14 +179,30 @@
 _KINDS: dict[str, type] = {}
 
 
-def register(kind: type) -> None:
+def register(kind: type, answer: type | None = None) -> None:
     """Add a message's data class to the known kinds.
 
+    Args:
+        kind: Data class of the message.
+        answer: Data class of its answer, for requests.
+
     Raises:
         RegistryError: Another data class has the same name.
     """
     if _KINDS.setdefault(kind.__name__, kind) is not kind:
         raise errors.RegistryError(f"message {kind.__name__!r} is already registered")
+    if answer is not None:
+        ANSWERS[kind] = answer
+
+
+# Kind of the answer to each kind of request; any may also be answered by ``Failed``.
+ANSWERS: dict[type, type] = {
+    Heartbeat: HeartbeatAck,
+    Execute: Executed,
+    TransactionBegin: TransactionBegun,
+    TransactionEnd: Executed,
+    Leaving: Acknowledged,
+}
 
 
 def encode(message: Any, correlation: int) -> bytes:
@@ -152,11 +219,13 @@
     """
     try:
         kind, correlation, body = cbor2.loads(frame)
-    except (cbor2.CBORDecodeError, EOFError, TypeError, ValueError) as error:
-        raise ValueError(f"not a message frame: {error}") from error
-    if not isinstance(correlation, int) or kind not in _KINDS:
-        raise ValueError(f"unknown message kind {kind!r}")
-    return correlation, codec.from_plain(body, _KINDS[kind])
+        known = _KINDS.get(kind)
+        if known is None or not isinstance(correlation, int):
+            raise ValueError(f"unknown message kind {kind!r}")
+        return correlation, codec.from_plain(body, known)
+    except Exception as error:
+        # Decoders meet hostile input with errors of many types, such as RecursionError.
+        raise ValueError(f"not a message: {type(error).__name__}: {error}") from error
 
 
 def _register_all(kinds: abc.Iterable[type]) -> None:
@@ -164,4 +233,17 @@
         register(kind)
 
 
-_register_all((Heartbeat, HeartbeatAck, Execute, Executed, Failed, Leaving, Acknowledged))
+_register_all(
+    (
+        Heartbeat,
+        HeartbeatAck,
+        Execute,
+        Executed,
+        TransactionBegin,
+        TransactionBegun,
+        TransactionEnd,
+        Failed,
+        Leaving,
+        Acknowledged,
+    )
+)
--- a/src/greengageshunt/peers/server.py
+++ b/src/greengageshunt/peers/server.py
@@ -5,6 +5,7 @@
 from collections import abc
 from typing import Any
 
+import cbor2
 import websockets
 from websockets.asyncio import server
 
@@ -24,6 +25,8 @@
         self._app = app
         self._handlers: dict[type, Handler] = {}
         self._running: set[asyncio.Task[None]] = set()
+        self._idle = asyncio.Event()
+        self._idle.set()
 
     def add_handler(self, kind: type, handler: Handler) -> None:
         """Register the handler of a message kind.
@@ -48,6 +51,15 @@
         ):
             await asyncio.Event().wait()
 
+    async def stop(self) -> None:
+        """Wait until the requests of peers are answered."""
+        await self._idle.wait()
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._running.discard(task)
+        if not self._running:
+            self._idle.set()
+
     async def _serve(self, connection: server.ServerConnection) -> None:
         try:
             async for frame in connection:
@@ -57,7 +69,10 @@
                     self._answer(connection, correlation, message, received_at)
                 )
                 self._running.add(task)
-                task.add_done_callback(self._running.discard)
+                self._idle.clear()
+                task.add_done_callback(self._finished)
+        except websockets.ConnectionClosed:
+            logger.info("peer closed", extra={"peer": str(connection.remote_address)})
         except ValueError as error:
             # A peer that sends broken frames cannot be trusted with further ones.
             fields = {"peer": str(connection.remote_address), "reason": str(error)}
@@ -73,7 +88,7 @@
     ) -> None:
         answer = await self._handle(message, received_at)
         try:
-            await connection.send(messages.encode(answer, correlation))
+            await connection.send(_frame(answer, correlation))
         except websockets.ConnectionClosed:
             logger.info("peer left before its answer", extra={"kind": type(message).__name__})
 
@@ -91,6 +106,20 @@
             return _failed("internal_error", f"{kind.__name__} failed", "unknown")
 
 
+def _frame(answer: Any, correlation: int) -> bytes:
+    """Return the frame of an answer, or of a refusal if it cannot be sent whole."""
+    try:
+        frame = messages.encode(answer, correlation)
+    except (TypeError, ValueError, cbor2.CBOREncodeError) as error:
+        logger.exception("answer cannot be encoded", extra={"kind": type(answer).__name__})
+        return messages.encode(_failed("internal_error", str(error), "unknown"), correlation)
+    if len(frame) <= link.FRAME_LIMIT:
+        return frame
+    # A larger frame would close the link and fail all requests on it.
+    message = f"the answer has {len(frame)} of {link.FRAME_LIMIT} bytes"
+    return messages.encode(_failed("answer_too_large", message, "unknown"), correlation)
+
+
 def _failed(code: str, message: str, outcome: str) -> messages.Failed:
     return messages.Failed(
         refusal=errors.Refusal(
--- a/src/greengageshunt/programs/proxy.py
+++ b/src/greengageshunt/programs/proxy.py
@@ -18,7 +18,12 @@
     "greengageshunt.peers.server",
     "greengageshunt.peers.links",
     "greengageshunt.membership.confirmation",
+    "greengageshunt.requests.budget",
     "greengageshunt.proxy.owner",
+    "greengageshunt.proxy.transactions",
+    "greengageshunt.proxy.forwarding",
+    "greengageshunt.proxy.execution",
+    "greengageshunt.proxy.transaction_calls",
     "greengageshunt.proxy.service",
     "greengageshunt.frontends.http",
 )
--- a/src/greengageshunt/proxy/owner.py
+++ b/src/greengageshunt/proxy/owner.py
@@ -10,7 +10,7 @@
 from greengageshunt import application, errors, model
 from greengageshunt.membership import ownership
 from greengageshunt.peers import messages
-from greengageshunt.proxy import pool, replication
+from greengageshunt.proxy import pool, rejection, replication
 from greengageshunt.requests import ledger
 from greengageshunt.scheduling import entry as entry_module
 
@@ -19,27 +19,38 @@
 REPLICATION_WAIT = 0.5  # seconds for a second target to copy a commit
 RECONCILE_INTERVAL = 0.2  # seconds
 
+# Seconds for the requests and transactions of a pool to end before it is closed.
+DRAIN_LIMIT = 20.0
 
-# Runs a statement on a connection; takes the present time.
-Operation = abc.Callable[[Any, model.Work, float], abc.Awaitable[model.Answer]]
+# Runs work on a connection; takes the present time and records how far it came.
+Operation = abc.Callable[[Any, model.Work, float, ledger.Attempt], abc.Awaitable[model.Answer]]
 
 
-def refused(code: str, message: str, target: str) -> errors.RefusedError:
-    """Return the error for a request that the owner did not send to the target."""
-    return errors.RefusedError(
-        errors.Refusal(
-            code=code, message=message, outcome=errors.Outcome.NOT_RUN, step="owner", peer=target
-        )
-    )
+async def _read(
+    connection: Any, work: model.Work, now: float, attempt: ledger.Attempt
+) -> model.Answer:
+    return await ledger.read(connection, work, now)
 
 
-def unknown(code: str, message: str, target: str) -> errors.RefusedError:
-    """Return the error for a request whose outcome is not known."""
-    return errors.RefusedError(
-        errors.Refusal(
-            code=code, message=message, outcome=errors.Outcome.UNKNOWN, step="owner", peer=target
-        )
-    )
+async def _look_up(
+    connection: Any, work: model.Work, now: float, attempt: ledger.Attempt
+) -> model.Answer:
+    return await ledger.look_up(connection, work, now)
+
+
+_WRITE_OPERATIONS: dict[model.Action, Operation] = {
+    model.Action.RUN: ledger.write,
+    model.Action.REFUSE: ledger.refuse,
+    model.Action.LOOK_UP: _look_up,
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OwnedTarget:
+    """What the owner of a target holds for it."""
+
+    pool: pool.TargetPool
+    watch: replication.ReplicationWatch
 
 
 class TargetOwner:
@@ -50,14 +61,13 @@
         self._view = app.part("membership", "view")
         self._directory = app.part("groups", "directory")
         self._grants = app.part("failover", "grants")
-        self._invariants = app.part("invariants", "default")
-        self._pools: dict[str, pool.TargetPool] = {}
-        self._watches: dict[str, replication.ReplicationWatch] = {}
+        self._owned: dict[str, OwnedTarget] = {}
+        self._draining: set[asyncio.Task[None]] = set()
         app.part("peers", "server").add_handler(messages.Execute, self.execute)
 
     def waits(self) -> dict[str, float]:
         """Return the seconds that a new request would wait, by owned target."""
-        return {name: held.expected_wait for name, held in self._pools.items()}
+        return {name: owned.pool.expected_wait for name, owned in self._owned.items()}
 
     async def run(self) -> None:
         """Open pools for owned targets and close the others until cancelled."""
@@ -66,15 +76,23 @@
                 self._reconcile()
                 await asyncio.sleep(RECONCILE_INTERVAL)
         finally:
-            for name in list(self._pools):
-                self._close(name)
+            for owned in self._owned.values():
+                owned.pool.close()
+                owned.watch.close()
 
-    def pool_of(self, target: model.Target) -> pool.TargetPool:
+    async def stop(self) -> None:
+        """Wait until no request and no transaction uses a pool."""
+        await asyncio.gather(*(owned.pool.drain(DRAIN_LIMIT) for owned in self._owned.values()))
+        await asyncio.gather(*self._draining)
+
+    def owned(self, target: model.Target) -> OwnedTarget:
         """Return the pool of a target, opened on first use."""
-        if target.name not in self._pools:
-            self._pools[target.name] = pool.TargetPool(app=self._app, target=target)
-            self._watches[target.name] = replication.ReplicationWatch(app=self._app, target=target)
-        return self._pools[target.name]
+        if target.name not in self._owned:
+            self._owned[target.name] = OwnedTarget(
+                pool=pool.TargetPool(app=self._app, target=target),
+                watch=replication.ReplicationWatch(app=self._app, target=target),
+            )
+        return self._owned[target.name]
 
     async def execute(self, message: messages.Execute, received_at: float) -> messages.Executed:
         """Run a statement on an owned target.
@@ -86,96 +104,135 @@
         Raises:
             RefusedError: The request did not run, or its outcome is unknown.
         """
-        record, target = self._find(message)
-        deadline = received_at + message.timeout
-        entry = entry_module.Entry(
-            account=message.work.account,
-            weight=message.weight,
-            priority=message.priority,
-            deadline=deadline,
-            queued_at=received_at,
-        )
+        if message.transaction:
+            keeper = self._app.part("proxy", "transactions")
+            return await keeper.execute(message, received_at)
+        record, target = self.find(message.group, message.target)
+        if message.target in record.draining:
+            raise rejection.not_run(
+                "target_draining", "the target takes no new work", message.target
+            )
+        owned = self.owned(target)
+        entry = queue_entry(message, received_at)
         if not message.work.write:
-            answer = await self._run(target, entry, message.work, ledger.read)
-            return _executed(answer, math.inf)
-        self._check_grant(record, message)
-        answer = await self._run(target, entry, message.work, ledger.write)
-        return await self._acknowledge(record, message, answer, received_at)
+            answer = await self._run(owned, entry, message.work, _read)
+            return executed(answer, math.inf, message.trace)
+        self.check_grant(record, message.target, message.work.term)
+        operation = _WRITE_OPERATIONS[message.work.action]
+        answer = await self._run(owned, entry, message.work, operation)
+        answer, grant = await self.acknowledge(
+            owned, record.group, message.work.term, answer, entry.deadline
+        )
+        return executed(answer, grant - received_at, message.trace)
 
     async def _run(
         self,
-        target: model.Target,
+        owned: OwnedTarget,
         entry: entry_module.Entry,
         work: model.Work,
         operation: Operation,
     ) -> model.Answer:
+        attempts: list[ledger.Attempt] = []
+
+        async def job(connection: Any) -> model.Answer:
+            attempt = ledger.Attempt()
+            attempts.append(attempt)
+            return await operation(connection, work, self._app.clock(), attempt)
+
         try:
-            return await self.pool_of(target).run(
-                entry, lambda connection: operation(connection, work, self._app.clock())
-            )
+            return await owned.pool.run(entry, job)
         except errors.TargetError as error:
-            if error.code:
-                raise refused("statement_rejected", str(error), target.name) from error
-            if not error.sent or not work.write:
-                raise refused("target_lost", str(error), target.name) from error
-            raise unknown("target_lost", str(error), target.name) from error
+            sent = any(attempt.commit_sent for attempt in attempts)
+            raise rejection.of_target_error(error, commit_sent=sent) from error
+        except errors.RefusedError as error:
+            if any(attempt.commit_sent for attempt in attempts):
+                raise rejection.unknown(
+                    error.refusal.code, str(error), owned.pool.target.name
+                ) from error
+            raise
 
-    async def _acknowledge(
+    async def acknowledge(
         self,
-        record: model.GroupRecord,
-        message: messages.Execute,
+        owned: OwnedTarget,
+        group: str,
+        term: int,
         answer: model.Answer,
-        received_at: float,
-    ) -> messages.Executed:
-        replicated = await self._watches[message.target].wait(
-            answer.position.offset, REPLICATION_WAIT
+        deadline: float,
+    ) -> tuple[model.Answer, float]:
+        """Wait for replication and check the write grant.
+
+        Args:
+            owned: Primary target.
+            group: Group of the target.
+            term: Term of the write.
+            answer: Answer of the target.
+            deadline: Monotonic seconds after which the caller no longer waits.
+
+        Returns:
+            The answer with ``replicated``, and the expiry of the grant.
+
+        Raises:
+            RefusedError: The grant ended, so the outcome is unknown.
+        """
+        remaining = max(0.0, deadline - self._app.clock())
+        replicated = await owned.watch.wait(
+            answer.position.offset, min(REPLICATION_WAIT, remaining)
         )
-        answer = dataclasses.replace(answer, replicated=replicated)
-        grant = self._grants.grant(record.group)
-        if grant.term != message.work.term or grant.expires_at <= self._app.clock():
-            raise unknown(
+        grant = self._grants.grant(group)
+        if grant.term != term or grant.expires_at <= self._app.clock():
+            raise rejection.unknown(
                 "grant_expired",
-                f"the write grant of term {message.work.term} ended before the acknowledgement",
-                message.target,
+                f"the write grant of term {term} ended before the acknowledgement",
+                owned.pool.target.name,
             )
-        return _executed(answer, grant.expires_at - received_at)
+        return dataclasses.replace(answer, replicated=replicated), grant.expires_at
+
+    def find(self, group: str, name: str) -> tuple[model.GroupRecord, model.Target]:
+        """Return the record of a group and one of its targets.
 
-    def _find(self, message: messages.Execute) -> tuple[model.GroupRecord, model.Target]:
-        record = self._directory.record(message.group)
-        target = record.target(message.target) if record else None
+        Raises:
+            RefusedError: The group or the target is unknown here.
+        """
+        record = self._directory.record(group)
+        target = record.target(name) if record else None
         if record is None or target is None:
-            raise refused("target_unknown", f"no target {message.target!r}", message.target)
-        if message.target in record.draining:
-            raise refused("target_draining", "the target takes no new work", message.target)
+            raise rejection.not_run("group_unknown", f"no target {name!r} of {group!r}", name)
         return record, target
 
-    def _check_grant(self, record: model.GroupRecord, message: messages.Execute) -> None:
-        grant = self._grants.grant(record.group)
-        if message.work.term != record.term or message.target != record.primary:
-            raise refused(
-                "term_changed",
-                f"term {message.work.term} was requested, {record.term} is valid",
-                message.target,
-            )
-        if grant.expires_at <= self._app.clock():
-            raise refused("no_grant", f"no write grant for term {record.term}", message.target)
+    def check_grant(self, record: model.GroupRecord, target: str, term: int) -> None:
+        """Check that writes of a term may be sent to a target.
+
+        Raises:
+            RefusedError: The term or the primary is another one, or the grant ended.
+        """
+        if term != record.term or target != record.primary:
+            message = f"term {term} was requested, {record.term} is valid"
+            raise rejection.not_run("term_changed", message, target)
+        if self._grants.grant(record.group).expires_at <= self._app.clock():
+            raise rejection.not_run("no_grant", f"no write grant for term {term}", target)
 
     def _reconcile(self) -> None:
         live = self._view.live(self._app.clock())
-        owned = {
+        wanted = {
             target.name: target
             for record in self._directory.records
             for target in record.targets
             if _owns(self._view.me, target, live)
         }
-        for target in owned.values():
-            self.pool_of(target)
-        for name in set(self._pools) - set(owned):
-            self._close(name)
+        for target in wanted.values():
+            self.owned(target)
+        for name in set(self._owned) - set(wanted):
+            task = asyncio.create_task(_drain(self._owned.pop(name)), name=f"drain {name}")
+            self._draining.add(task)
+            task.add_done_callback(self._draining.discard)
 
-    def _close(self, name: str) -> None:
-        self._pools.pop(name).close()
-        self._watches.pop(name).close()
+
+async def _drain(owned: OwnedTarget) -> None:
+    try:
+        await owned.pool.drain(DRAIN_LIMIT)
+    finally:
+        owned.pool.close()
+        owned.watch.close()
 
 
 def _owns(me: model.Member, target: model.Target, live: tuple[model.Member, ...]) -> bool:
@@ -183,9 +240,24 @@
     return owner is not None and owner.vm == me.vm
 
 
-def _executed(answer: model.Answer, grant_after_receipt: float) -> messages.Executed:
+def queue_entry(message: messages.Execute, received_at: float) -> entry_module.Entry:
+    """Return the entry of a request in the queue for slots."""
+    return entry_module.Entry(
+        account=message.work.account,
+        weight=message.weight,
+        priority=message.priority,
+        deadline=received_at + message.timeout,
+        queued_at=received_at,
+    )
+
+
+def executed(answer: model.Answer, grant_after_receipt: float, trace: str) -> messages.Executed:
+    """Return the message that carries an answer and its end marker."""
     return messages.Executed(
-        answer=answer, row_count=len(answer.rows), grant_after_receipt=grant_after_receipt
+        answer=answer,
+        row_count=len(answer.rows),
+        grant_after_receipt=grant_after_receipt,
+        trace=trace,
     )
 
 
--- a/src/greengageshunt/proxy/pool.py
+++ b/src/greengageshunt/proxy/pool.py
@@ -1,12 +1,11 @@
 """The connection pool of one target, held by the target's owner."""
 
 import asyncio
-import dataclasses
 import logging
-from collections import abc
-from typing import Any, TypeVar
+from typing import TypeVar
 
 from greengageshunt import application, errors, model
+from greengageshunt.proxy import connection as connection_module
 from greengageshunt.scheduling import entry as entry_module
 from greengageshunt.scheduling import gate
 
@@ -14,14 +13,16 @@
 
 # Connections left for status checks and promotion; see docs/design.md, decision 1.
 RESERVED_CONNECTIONS = 7
-RECONNECT_DELAY = 0.1  # seconds
 
-# Seconds without a job after which an idle connection is checked, so that one
-# that went silent is replaced before a request needs it.
-IDLE_CHECK_INTERVAL = 0.5
+# Seconds without an answer after which a job is run on a second connection too.
+SILENCE_DEADLINE = 0.75
+RUNS_PER_JOB = 3
+
+# Seconds that a request waits for an open connection at most. Connections are
+# only missing while the target is down, and then another target may serve it.
+CONNECTION_WAIT = 0.25
 
 _T = TypeVar("_T")
-Job = abc.Callable[[Any], abc.Awaitable[_T]]
 
 
 def pool_size(connection_limit: int) -> int:
@@ -32,137 +33,23 @@
     return max(1, (connection_limit - RESERVED_CONNECTIONS) // 2)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, eq=False)
-class QueuedJob:
-    """A job for a connection.
-
-    Attributes:
-        run: Coroutine function that takes the connection.
-        deadline: Monotonic seconds after which the connection counts as silent.
-        future: Receives the result.
-    """
-
-    run: Job[Any]
-    deadline: float
-    future: asyncio.Future[Any]
-
-    def fail(self, error: Exception) -> None:
-        """Pass an error on to the waiting task."""
-        if not self.future.done():
-            self.future.set_exception(error)
-
-
-class PooledConnection:
-    """One connection to the target and the queue of its jobs."""
-
-    def __init__(self, *, app: application.Application, target: model.Target) -> None:
-        self._app = app
-        self._driver = app.selected("driver")
-        self._target = target
-        self._jobs: asyncio.Queue[QueuedJob] = asyncio.Queue()
-        self._connected = False
-
-    @property
-    def connected(self) -> bool:
-        """Whether the connection is open."""
-        return self._connected
-
-    async def submit(self, run: Job[_T], deadline: float) -> _T:
-        """Run a job on the connection and return its result.
-
-        Args:
-            run: Coroutine function that takes the connection.
-            deadline: Monotonic seconds after which the connection counts as silent.
-
-        Raises:
-            TargetError: The target rejected the statement or the connection failed.
-        """
-        future: asyncio.Future[_T] = asyncio.get_running_loop().create_future()
-        await self._jobs.put(QueuedJob(run=run, deadline=deadline, future=future))
-        return await future
-
-    async def serve(self, ready: abc.Callable[["PooledConnection"], None]) -> None:
-        """Connect, run jobs until the connection fails, and connect again.
-
-        Args:
-            ready: Called each time the connection was opened.
-        """
-        while True:
-            try:
-                connection = await self._driver.connect(self._target)
-            except errors.TargetError as error:
-                self._log("target connection refused", error)
-                await asyncio.sleep(RECONNECT_DELAY)
-                continue
-            self._connected = True
-            ready(self)
-            try:
-                await self._run_jobs(connection)
-            except errors.TargetError as error:
-                self._log("target connection lost", error)
-            finally:
-                self._connected = False
-                await connection.close()
-
-    async def _run_jobs(self, connection: Any) -> None:
-        while True:
-            try:
-                async with asyncio.timeout(IDLE_CHECK_INTERVAL):
-                    job = await self._jobs.get()
-            except TimeoutError:
-                await connection.status(self._app.clock())
-                continue
-            try:
-                await self._run_job(connection, job)
-            except asyncio.CancelledError:
-                job.fail(self._error("the connection was closed"))
-                raise
-
-    async def _run_job(self, connection: Any, job: QueuedJob) -> None:
-        """Run one job.
-
-        Raises:
-            TargetError: The connection can no longer be used.
-        """
-        try:
-            async with asyncio.timeout(max(0.0, job.deadline - self._app.clock())):
-                value = await job.run(connection)
-        except TimeoutError:
-            error = self._error("no answer before the deadline")
-            job.fail(error)
-            raise error from None
-        except errors.TargetError as error:
-            job.fail(error)
-            if not error.code:
-                raise
-        except errors.GreengageshuntError as error:
-            job.fail(error)
-        else:
-            if not job.future.done():
-                job.future.set_result(value)
-
-    def _error(self, message: str) -> errors.TargetError:
-        return errors.TargetError(message, step="execute", peer=self._target.name, sent=True)
-
-    def _log(self, message: str, error: errors.TargetError) -> None:
-        fields = {"target": self._target.name, "step": error.step, "reason": str(error)}
-        logger.info(message, extra=fields)
-
-
 class TargetPool:
     """Connections to one target and the queue for its slots."""
 
     def __init__(self, *, app: application.Application, target: model.Target) -> None:
         self._app = app
         self._target = target
-        self._idle: asyncio.Queue[PooledConnection] = asyncio.Queue()
-        self._queued: set[PooledConnection] = set()
+        self._idle: asyncio.Queue[connection_module.PooledConnection] = asyncio.Queue()
         self._gate = gate.SlotGate(
             name=target.name,
             slots=target.slots,
             queue=app.selected("scheduling")(),
             clock=app.clock,
         )
+        self._queued: set[connection_module.PooledConnection] = set()
+        self._users = 0
+        self._unused = asyncio.Event()
+        self._unused.set()
         self._size = pool_size(target.connection_limit)
         self._tasks = [self._start(number) for number in range(self._size)]
 
@@ -176,61 +63,125 @@
         """Number of connections."""
         return self._size
 
+    @property
+    def gate(self) -> gate.SlotGate:
+        """Queue for the target's slots."""
+        return self._gate
+
     @property
     def expected_wait(self) -> float:
         """Seconds that a new request would wait for a slot."""
         return self._gate.expected_wait
 
-    async def run(self, entry: entry_module.Entry, job: Job[_T]) -> _T:
+    async def run(self, entry: entry_module.Entry, job: connection_module.Job[_T]) -> _T:
         """Wait for a slot and a connection, and run a job.
 
+        A job without an answer is run on further connections as well, because its
+        connection may have gone silent for good; the first success counts. So a job
+        must be safe to run twice.
+
         Raises:
             RefusedError: No slot or connection came free before the deadline.
             TargetError: The target rejected the statement or the connection failed.
         """
-        async with self._gate.slot(entry):
-            connection = await self.take(entry.deadline)
-            try:
-                return await connection.submit(job, entry.deadline)
-            finally:
-                self.release(connection)
-
-    async def take(self, deadline: float) -> PooledConnection:
+        self.add_user()
+        try:
+            async with self._gate.slot(entry):
+                return await self._run_on_some(entry, job)
+        finally:
+            self.remove_user()
+
+    async def _run_on_some(self, entry: entry_module.Entry, job: connection_module.Job[_T]) -> _T:
+        runs = [asyncio.create_task(self._run_once(entry, job))]
+        try:
+            while True:
+                timeout = SILENCE_DEADLINE if len(runs) < RUNS_PER_JOB else None
+                waiting = [run for run in runs if not run.done()]
+                done, _ = await asyncio.wait(
+                    waiting, timeout=timeout, return_when=asyncio.FIRST_COMPLETED
+                )
+                won = next((run for run in done if run.exception() is None), None)
+                if won is not None:
+                    return won.result()
+                if all(run.done() for run in runs):
+                    return runs[0].result()
+                if not done:
+                    logger.info("no answer yet", extra={"target": self._target.name})
+                    runs.append(asyncio.create_task(self._run_once(entry, job)))
+        finally:
+            for run in runs:
+                run.cancel()
+
+    async def _run_once(self, entry: entry_module.Entry, job: connection_module.Job[_T]) -> _T:
+        lease = await self.take(entry.deadline)
+        try:
+            return await lease.connection.submit(job, lease, entry.deadline)
+        finally:
+            self.release(lease)
+
+    async def take(self, deadline: float) -> connection_module.Lease:
         """Reserve a connection.
 
         Raises:
-            RefusedError: No connection came free before the deadline.
+            RefusedError: No connection came free in time.
         """
+        remaining = max(0.0, deadline - self._app.clock())
         try:
-            async with asyncio.timeout(max(0.0, deadline - self._app.clock())):
+            async with asyncio.timeout(min(remaining, CONNECTION_WAIT)):
                 while True:
                     connection = await self._idle.get()
                     self._queued.discard(connection)
                     if connection.connected:
-                        return connection
+                        return connection.lease()
         except TimeoutError:
             raise errors.RefusedError(
                 errors.Refusal(
                     code="no_connection",
-                    message=f"target {self._target.name}: no connection before the deadline",
+                    message=f"target {self._target.name}: no connection came free in time",
                     outcome=errors.Outcome.NOT_RUN,
                     step="connect",
                     peer=self._target.name,
                 )
             ) from None
 
-    def release(self, connection: PooledConnection) -> None:
-        """Return a reserved connection; a broken one returns when it is open again."""
-        if connection.connected and connection not in self._queued:
+    def release(self, lease: connection_module.Lease) -> None:
+        """Return a reserved connection; a lost one returned when it was opened again."""
+        if lease.valid:
+            self._add_idle(lease.connection)
+
+    def _add_idle(self, connection: connection_module.PooledConnection) -> None:
+        # A connection that was lost while idle is still in the queue when it is open again.
+        if connection not in self._queued:
             self._queued.add(connection)
             self._idle.put_nowait(connection)
 
+    def add_user(self) -> None:
+        """Count a request or a transaction that uses the pool."""
+        self._users += 1
+        self._unused.clear()
+
+    def remove_user(self) -> None:
+        """Count the end of a request or a transaction."""
+        self._users -= 1
+        if not self._users:
+            self._unused.set()
+
+    async def drain(self, limit: float) -> None:
+        """Wait until nothing uses the pool, up to a limit in seconds, and close it."""
+        try:
+            async with asyncio.timeout(limit):
+                await self._unused.wait()
+        except TimeoutError:
+            fields = {"target": self._target.name, "users": self._users}
+            logger.warning("pool closed while in use", extra=fields)
+        self.close()
+
     def close(self) -> None:
         """Close all connections."""
         for task in self._tasks:
             task.cancel()
 
     def _start(self, number: int) -> asyncio.Task[None]:
-        connection = PooledConnection(app=self._app, target=self._target)
+        connection = connection_module.PooledConnection(app=self._app, target=self._target)
         name = f"{self._target.name} connection {number}"
-        return asyncio.create_task(connection.serve(self.release), name=name)
+        return asyncio.create_task(connection.serve(self._add_idle), name=name)
--- a/src/greengageshunt/proxy/service.py
+++ b/src/greengageshunt/proxy/service.py
@@ -1,57 +1,45 @@
 """The path of one request through an entry VM, independent of the front end."""
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 import uuid
-from typing import Any, TypeVar
+from collections import abc
 
-from returns import pipeline, result
+from returns import result
 
 from greengageshunt import application, errors, logs, model
 from greengageshunt.configuration import keys
-from greengageshunt.membership import ownership
-from greengageshunt.peers import messages
-from greengageshunt.routing import decision
+from greengageshunt.proxy import execution, forwarding, transaction_calls
+from greengageshunt.requests import checks, transaction_id
 from greengageshunt.sessions import token
 
 logger = logging.getLogger(__name__)
 
-HOLD_INTERVAL = 0.05  # seconds between tries while a group changes its primary
-
-# Refusals of requests that did not run, after which another try may reach the
-# new primary, the new owner or another replica.
-_TRY_AGAIN = frozenset({"term_changed", "no_grant", "owner_unreachable", "target_lost"})
-
-# A target counts as live if it was checked within this many seconds.
-LIVE_DEADLINE = 1.0
-
 Handled = result.Result[model.CallerAnswer, errors.Refusal]
-_T = TypeVar("_T")
-
+Begun = result.Result[str, errors.Refusal]
 
-def refusal(
-    code: str,
-    message: str,
-    step: str,
-    *,
-    peer: str = "",
-    outcome: errors.Outcome = errors.Outcome.NOT_RUN,
-) -> errors.RefusedError:
-    """Return the error that ends a request with a refusal."""
-    return errors.RefusedError(
-        errors.Refusal(code=code, message=message, outcome=outcome, step=step, peer=peer)
-    )
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Caller:
+    """Who sent a request.
 
-def _unwrap(value: result.Result[_T, errors.Refusal]) -> _T:
-    if pipeline.is_successful(value):
-        return value.unwrap()
-    raise errors.RefusedError(value.failure())
+    Attributes:
+        configuration: Configuration under which it was authenticated.
+        account: Client account, or an empty string on open routes.
+        session: Content of the session token.
+    """
 
+    configuration: model.Configuration
+    account: str
+    session: token.Session
 
-def _may_try_again(refused: errors.Refusal) -> bool:
-    return refused.outcome is errors.Outcome.UNKNOWN or refused.code in _TRY_AGAIN
+    @property
+    def weight(self) -> float:
+        """Weight of the client account."""
+        known = self.configuration.accounts_by_name.get(self.account)
+        return known.weight if known else 1.0
 
 
 class ProxyService:
@@ -61,13 +49,9 @@
         self._app = app
         self._configuration = app.part("configuration", "state")
         self._directory = app.part("groups", "directory")
-        self._view = app.part("membership", "view")
-        self._links = app.part("peers", "links")
-        self._owner = app.part("proxy", "owner")
         self._admission = app.selected("admission")
-        self._choose = app.selected("routing")
-        self._links.add_extra("waits", self._owner.waits, self._learn_waits)
-        self._waits: dict[str, float] = {}
+        self._executor = app.part("proxy", "executor")
+        self._transactions = app.part("proxy", "transaction-calls")
         self._in_progress = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -85,16 +69,19 @@
 
     async def handle(self, request: model.CallerRequest) -> Handled:
         """Handle one request from authentication to the new session token."""
-        self._in_progress += 1
-        self._idle.clear()
-        try:
-            return await self._handle(request)
-        except errors.RefusedError as error:
-            return result.Failure(error.refusal)
-        finally:
-            self._in_progress -= 1
-            if not self._in_progress:
-                self._idle.set()
+        return await self._counted(self._handle(request))
+
+    async def look_up(self, request: model.CallerRequest) -> Handled:
+        """Look up the stored outcome of a request id; a refusal counts as a failure."""
+        return await self._counted(self._look_up(request))
+
+    async def begin(self, request: model.TransactionRequest) -> Begun:
+        """Open a transaction and return its id."""
+        return await self._counted(self._begin(request))
+
+    async def end(self, request: model.TransactionRequest) -> Handled:
+        """Commit or roll back a transaction."""
+        return await self._counted(self._end(request))
 
     async def stop(self) -> None:
         """Wait until no request is in progress."""
@@ -104,35 +91,132 @@
         """Do nothing until cancelled; requests arrive through front ends."""
         await asyncio.Event().wait()
 
+    async def _counted(self, handling: abc.Coroutine[None, None, result.Result]) -> result.Result:
+        with self._counting():
+            try:
+                return await handling
+            except errors.RefusedError as error:
+                return result.Failure(error.refusal)
+
+    @contextlib.contextmanager
+    def _counting(self) -> abc.Iterator[None]:
+        self._in_progress += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._in_progress -= 1
+            if not self._in_progress:
+                self._idle.set()
+
     async def _handle(self, request: model.CallerRequest) -> Handled:
         configuration = self._configuration.current
-        route = configuration.routes_by_name.get(request.route)
+        route = self._route(configuration, request.route)
+        caller = self._authenticate(configuration, route, request.key, request.token)
+        writes = route.kind is model.RouteKind.WRITE
+        execution.unwrap(checks.check_request_id(request.request_id, caller.account, writes=writes))
+        execution.unwrap(checks.check_parameters(route, request))
+        job = self._job(request, route, caller, request.parameters)
+        await self._admit(caller, job)
+        if request.transaction:
+            content = self._transaction(request.transaction, caller)
+            answer = await self._transactions.run(job, content)
+        else:
+            answer = await self._executor.run(job)
+        return self._answered(caller, route.group, answer)
+
+    async def _look_up(self, request: model.CallerRequest) -> Handled:
+        configuration = self._configuration.current
+        route = self._route(configuration, request.route)
+        caller = self._authenticate(configuration, route, request.key, request.token)
+        execution.unwrap(checks.check_request_id(request.request_id, caller.account, writes=True))
+        # Outcomes are read at the primary and under its write grant, like a write.
+        written = dataclasses.replace(route, kind=model.RouteKind.WRITE)
+        job = self._job(request, written, caller, {})
+        await self._admit(caller, job)
+        answer = await self._executor.look_up(dataclasses.replace(job, position=None))
+        return self._answered(caller, route.group, answer)
+
+    async def _begin(self, request: model.TransactionRequest) -> Begun:
+        configuration = self._configuration.current
+        route = transaction_calls.pseudo_route(request.group)
+        caller = self._authenticate(configuration, route, request.key, request.token)
+        if self._directory.record(request.group) is None:
+            raise forwarding.refusal("group_unknown", f"no group {request.group!r}", "route")
+        job = self._job(request, route, caller, {})
+        await self._admit(caller, job)
+        content = await self._transactions.begin(job)
+        return result.Success(transaction_id.encode(content, configuration.token_secret))
+
+    async def _end(self, request: model.TransactionRequest) -> Handled:
+        configuration = self._configuration.current
+        route = transaction_calls.pseudo_route("")
+        caller = self._authenticate(configuration, route, request.key, request.token)
+        execution.unwrap(checks.check_request_id(request.request_id, caller.account, writes=True))
+        content = self._transaction(request.transaction, caller)
+        route = transaction_calls.pseudo_route(content.group)
+        # The stored fingerprint binds the request id of a commit to its transaction.
+        job = self._job(request, route, caller, {"transaction": content.number})
+        if not request.commit:
+            answer = await self._transactions.roll_back(job, content)
+            return result.Success(model.CallerAnswer(answer=answer, token=request.token))
+        answer = await self._transactions.commit(job, content, bool(request.request_id))
+        return self._answered(caller, content.group, answer)
+
+    def _route(self, configuration: model.Configuration, name: str) -> model.Route:
+        route = configuration.routes_by_name.get(name)
         if route is None:
-            raise refusal("route_unknown", f"no route {request.route!r}", "route")
-        if not request.request_id:
-            # Own ids let the proxy look up the outcome of a write whose answer was lost.
-            request = dataclasses.replace(request, request_id=uuid.uuid4().hex)
-        account = _unwrap(keys.authenticate(configuration, route, request.key))
-        session = _unwrap(token.decode(request.token, account, configuration.token_secret))
-        await self._admit(configuration, account, request)
-        answer = await self._execute(request, route, account, session)
-        session = token.merge(session, route.group, answer.position)
-        text = token.encode(session, configuration.token_secret)
+            raise forwarding.refusal("route_unknown", f"no route {name!r}", "route")
+        return route
+
+    def _authenticate(
+        self, configuration: model.Configuration, route: model.Route, key: str, text: str
+    ) -> Caller:
+        account = execution.unwrap(keys.authenticate(configuration, route, key))
+        session = execution.unwrap(token.decode(text, account, configuration.token_secret))
+        return Caller(configuration=configuration, account=account, session=session)
+
+    def _transaction(self, text: str, caller: Caller) -> transaction_id.TransactionId:
+        secret = caller.configuration.token_secret
+        return execution.unwrap(transaction_id.decode(text, caller.account, secret))
+
+    def _job(
+        self,
+        request: model.CallerRequest | model.TransactionRequest,
+        route: model.Route,
+        caller: Caller,
+        parameters: abc.Mapping[str, model.Value],
+    ) -> execution.Job:
+        # Own ids let the proxy look up the outcome of a write whose answer was lost.
+        own_id = uuid.uuid4().hex
+        needs_id = route.kind is model.RouteKind.WRITE and not route.repeatable
+        return execution.Job(
+            route=route,
+            parameters=parameters,
+            account=caller.account,
+            weight=caller.weight,
+            position=caller.session.positions.get(route.group),
+            request_id=request.request_id or (own_id if needs_id else ""),
+            trace=request.request_id or own_id,
+            started_at=self._app.clock(),
+            deadline=request.deadline,
+        )
+
+    def _answered(self, caller: Caller, group: str, answer: model.Answer) -> Handled:
+        session = token.merge(caller.session, group, answer.position)
+        text = token.encode(session, caller.configuration.token_secret)
         return result.Success(model.CallerAnswer(answer=answer, token=text))
 
-    async def _admit(
-        self, configuration: model.Configuration, account: str, request: model.CallerRequest
-    ) -> None:
-        if not account:
+    async def _admit(self, caller: Caller, job: execution.Job) -> None:
+        account = caller.configuration.accounts_by_name.get(caller.account)
+        if account is None:
             return
-        admitted = await self._admission.admit(
-            configuration.accounts_by_name[account], request.deadline
-        )
+        admitted = await self._admission.admit(account, job.deadline)
         logs.log_decision(
             logger,
             "admit",
-            request_id=request.request_id,
-            account=account,
+            request_id=job.trace,
+            account=account.name,
             admitted=admitted.admitted,
             reason=admitted.reason,
         )
@@ -140,164 +224,13 @@
             raise errors.RefusedError(
                 errors.Refusal(
                     code="rate_exceeded",
-                    message=f"client account {account!r} is above its rate",
+                    message=f"client account {account.name!r} is above its rate",
                     outcome=errors.Outcome.NOT_RUN,
                     step="admit",
                     retry_after=admitted.retry_after,
                 )
             )
 
-    async def _execute(
-        self,
-        request: model.CallerRequest,
-        route: model.Route,
-        account: str,
-        session: token.Session,
-    ) -> model.Answer:
-        """Try until the request has an outcome or its deadline passes.
-
-        A write is tried again only under its request id, which the target
-        stores with it, so that it runs at most once.
-        """
-        uncertain = False
-        while True:
-            now = self._app.clock()
-            try:
-                return await self._try(request, route, account, session, now)
-            except errors.RefusedError as error:
-                refused = error.refusal
-            uncertain = uncertain or refused.outcome is errors.Outcome.UNKNOWN
-            out_of_time = self._app.clock() + HOLD_INTERVAL >= request.deadline
-            if out_of_time or not _may_try_again(refused):
-                outcome = errors.Outcome.UNKNOWN if uncertain else refused.outcome
-                raise errors.RefusedError(dataclasses.replace(refused, outcome=outcome))
-            await asyncio.sleep(HOLD_INTERVAL)
-
-    async def _try(
-        self,
-        request: model.CallerRequest,
-        route: model.Route,
-        account: str,
-        session: token.Session,
-        now: float,
-    ) -> model.Answer:
-        record = self._directory.record(route.group)
-        if record is None:
-            raise refusal("group_unknown", f"no group {route.group!r}", "route")
-        inputs = self._routing_input(request, route, record, session, now)
-        chosen = _unwrap(self._choose(inputs, now))
-        target = record.target(chosen.target)
-        owner = ownership.owner(target, self._view.live(now))
-        position = session.positions.get(route.group)
-        logs.log_decision(
-            logger,
-            "route",
-            request_id=request.request_id,
-            account=account,
-            route=route.name,
-            group=record.group,
-            target=chosen.target,
-            owner=owner.vm if owner else "",
-            term=record.term,
-            position=position.offset if position else 0,
-            reason=chosen.reason,
-        )
-        message = self._message(request, route, account, chosen, now)
-        executed = await self._send(owner, message, now)
-        self._check(executed, message, now)
-        return executed.answer
-
-    def _routing_input(
-        self,
-        request: model.CallerRequest,
-        route: model.Route,
-        record: model.GroupRecord,
-        session: token.Session,
-        now: float,
-    ) -> decision.RoutingInput:
-        names = [target.name for target in record.targets]
-        statuses = [status for name in names if (status := self._directory.status(name))]
-        return decision.RoutingInput(
-            route=route,
-            record=record,
-            statuses=tuple(statuses),
-            position=session.positions.get(record.group),
-            lags={name: self._directory.lag(name, now) for name in names},
-            waits={**self._waits, **self._owner.waits()},
-            live_targets=frozenset(
-                status.target for status in statuses if now - status.observed_at <= LIVE_DEADLINE
-            ),
-            in_transaction=bool(request.transaction),
-        )
-
-    def _message(
-        self,
-        request: model.CallerRequest,
-        route: model.Route,
-        account: str,
-        chosen: decision.RoutingDecision,
-        now: float,
-    ) -> messages.Execute:
-        configuration = self._configuration.current
-        known = configuration.accounts_by_name.get(account)
-        return messages.Execute(
-            group=route.group,
-            target=chosen.target,
-            work=model.Work(
-                statement=route.statement,
-                parameters=request.parameters,
-                write=route.kind is model.RouteKind.WRITE,
-                account=account,
-                request_id=request.request_id,
-                term=chosen.term,
-            ),
-            weight=known.weight if known else 1.0,
-            priority=route.priority,
-            timeout=request.deadline - now,
-            transaction=request.transaction,
-            trace=request.request_id,
-        )
-
-    async def _send(
-        self, owner: model.Member | None, message: messages.Execute, now: float
-    ) -> messages.Executed:
-        if owner is None or owner.vm == self._view.me.vm:
-            return await self._owner.execute(message, now)
-        try:
-            return await self._links.request(owner.vm, message, message.timeout)
-        except errors.PeerError as error:
-            not_run = not error.sent or not message.work.write
-            raise refusal(
-                "owner_unreachable",
-                str(error),
-                error.step,
-                peer=error.peer,
-                outcome=errors.Outcome.NOT_RUN if not_run else errors.Outcome.UNKNOWN,
-            ) from error
-
-    def _check(self, executed: messages.Executed, message: messages.Execute, now: float) -> None:
-        """Check an answer just before its acknowledgement."""
-        if executed.row_count != len(executed.answer.rows):
-            raise refusal(
-                "answer_incomplete",
-                "the answer has fewer rows than its end marker says",
-                "check",
-                peer=message.target,
-                outcome=errors.Outcome.UNKNOWN,
-            )
-        # The owner counted from its receipt, which came after this sending.
-        if self._app.clock() >= now + executed.grant_after_receipt:
-            raise refusal(
-                "grant_expired",
-                "the write grant ended before the acknowledgement",
-                "check",
-                peer=message.target,
-                outcome=errors.Outcome.UNKNOWN,
-            )
-
-    def _learn_waits(self, vm: str, value: Any, sent_at: float) -> None:
-        self._waits.update(value)
-
 
 def setup(app: application.Application) -> None:
     """Register the request path."""
--- /dev/null
+++ b/src/greengageshunt/proxy/transaction_calls.py
@@ -0,0 +1,218 @@
+"""Transactions at the entry VM: any proxy reaches the owner that holds one."""
+
+import asyncio
+import dataclasses
+import uuid
+
+from greengageshunt import application, errors, model
+from greengageshunt.membership import ownership
+from greengageshunt.peers import messages
+from greengageshunt.proxy import execution, forwarding
+from greengageshunt.requests import budget, transaction_id
+from greengageshunt.routing import history
+
+# Seconds for the rollback of a transaction whose last answer was lost.
+ROLLBACK_TIMEOUT = 1.0
+
+# Refusals of a commit that say nothing of an earlier one with the same request id.
+_NOT_OPEN = frozenset({"transaction_ended", "transaction_unknown"})
+
+
+def pseudo_route(group: str) -> model.Route:
+    """Return the route under which a transaction is authenticated and settled."""
+    return model.Route(name="", group=group, kind=model.RouteKind.WRITE, statement="")
+
+
+class TransactionCalls:
+    """Opens, uses and ends transactions on behalf of callers."""
+
+    def __init__(self, *, app: application.Application) -> None:
+        self._app = app
+        self._directory = app.part("groups", "directory")
+        self._view = app.part("membership", "view")
+        self._executor = app.part("proxy", "executor")
+        self._forwarder = app.part("proxy", "forwarder")
+
+    async def begin(self, job: execution.Job) -> transaction_id.TransactionId:
+        """Open a transaction at the owner of the group's primary.
+
+        Raises:
+            RefusedError: No transaction was opened.
+        """
+        attempt = 0
+        while True:
+            attempt += 1
+            try:
+                return await self._begin(job)
+            except errors.RefusedError as error:
+                decided = self._executor.decide(job, error.refusal, attempt, job.deadline)
+                if not decided.again:
+                    raise
+            await asyncio.sleep(decided.delay)
+
+    async def run(self, job: execution.Job, content: transaction_id.TransactionId) -> model.Answer:
+        """Run a statement inside an open transaction.
+
+        Raises:
+            RefusedError: The statement did not run, or the outcome is unknown; in
+                both cases no part of the transaction commits without a commit request.
+        """
+        if job.route.group != content.group:
+            raise forwarding.refusal(
+                "transaction_group",
+                f"the transaction is in group {content.group!r}, not {job.route.group!r}",
+                "transaction",
+            )
+        now = self._app.clock()
+        message = messages.Execute(
+            group=content.group,
+            target=content.target,
+            work=self._work(job, content),
+            weight=job.weight,
+            priority=job.route.priority,
+            timeout=job.deadline - now,
+            transaction=content.number,
+            trace=_trace(job),
+        )
+        try:
+            return await self._forwarder.execute(content.vm, message, now, effect=True)
+        except errors.RefusedError as error:
+            if error.refusal.outcome is not errors.Outcome.UNKNOWN:
+                raise
+            raise errors.RefusedError(
+                await self._after_lost_answer(job, content, error.refusal)
+            ) from error
+
+    async def roll_back(
+        self, job: execution.Job, content: transaction_id.TransactionId
+    ) -> model.Answer:
+        """Roll a transaction back.
+
+        Raises:
+            RefusedError: The transaction is not open, or its owner cannot be reached.
+        """
+        now = self._app.clock()
+        message = self._end_message(job, content, False, job.deadline - now)
+        return await self._forwarder.execute(content.vm, message, now, effect=False)
+
+    async def commit(
+        self, job: execution.Job, content: transaction_id.TransactionId, repeated: bool
+    ) -> model.Answer:
+        """Commit a transaction; its outcome is stored under the request id.
+
+        Args:
+            job: Commit with its request id.
+            content: The transaction.
+            repeated: Whether an earlier commit may have had the same request id.
+
+        Raises:
+            RefusedError: Nothing was committed, or the outcome is unknown.
+        """
+        attempt = 0
+        deadline = execution.last_try(job)
+        while True:
+            attempt += 1
+            now = self._app.clock()
+            message = self._end_message(job, content, True, deadline - now)
+            try:
+                answer = await self._forwarder.execute(content.vm, message, now, effect=True)
+                return self._executor.stated(answer, job)
+            except errors.RefusedError as error:
+                refused = error.refusal
+            lost = refused.outcome is errors.Outcome.UNKNOWN
+            if lost or (repeated and refused.code in _NOT_OPEN):
+                return await self._executor.settle(job, refused)
+            decided = self._executor.decide(job, refused, attempt, deadline)
+            if refused.code not in budget.HELD or not decided.again:
+                raise errors.RefusedError(refused)
+            await asyncio.sleep(decided.delay)
+
+    async def _begin(self, job: execution.Job) -> transaction_id.TransactionId:
+        now = self._app.clock()
+        record = self._directory.record(job.route.group)
+        if record is None:
+            raise forwarding.refusal("group_unknown", f"no group {job.route.group!r}", "route")
+        if job.position is not None and history.is_lost(job.position, record.history):
+            raise forwarding.refusal(
+                "position_lost",
+                "a change of primary dropped a transaction that this session has seen",
+                "route",
+                peer=record.group,
+            )
+        target = record.target(record.primary)
+        owner = ownership.owner(target, self._view.live(now))
+        if owner is None:
+            raise forwarding.refusal("peer_link_down", "no live owner", "route")
+        message = messages.TransactionBegin(
+            group=record.group,
+            target=record.primary,
+            term=record.term,
+            account=job.account,
+            timeout=job.deadline - now,
+        )
+        # Without its answer, nobody has the number that a commit needs.
+        begun = await self._forwarder.send(owner.vm, message, now, effect=False)
+        return transaction_id.TransactionId(
+            number=begun.number,
+            vm=owner.vm,
+            group=record.group,
+            target=record.primary,
+            term=record.term,
+            account=job.account,
+        )
+
+    async def _after_lost_answer(
+        self, job: execution.Job, content: transaction_id.TransactionId, refused: errors.Refusal
+    ) -> errors.Refusal:
+        """Return the refusal of a statement whose answer was lost.
+
+        It may have run, and a commit that is sent next would include it. Only a
+        transaction that is known to be rolled back makes "not run" true.
+        """
+        now = self._app.clock()
+        message = self._end_message(job, content, False, ROLLBACK_TIMEOUT)
+        try:
+            await self._forwarder.execute(content.vm, message, now, effect=False)
+        except errors.RefusedError:
+            return dataclasses.replace(refused, code="transaction_lost")
+        return dataclasses.replace(
+            refused,
+            code="transaction_lost",
+            message=f"the transaction was rolled back: {refused.message}",
+            outcome=errors.Outcome.NOT_RUN,
+        )
+
+    def _work(self, job: execution.Job, content: transaction_id.TransactionId) -> model.Work:
+        return model.Work(
+            statement=job.route.statement,
+            parameters=job.parameters,
+            write=job.writes,
+            account=job.account,
+            request_id=job.request_id,
+            term=content.term,
+            route=job.route.name,
+        )
+
+    def _end_message(
+        self,
+        job: execution.Job,
+        content: transaction_id.TransactionId,
+        commit: bool,
+        timeout: float,
+    ) -> messages.TransactionEnd:
+        return messages.TransactionEnd(
+            number=content.number,
+            commit=commit,
+            work=self._work(job, content),
+            timeout=timeout,
+            trace=_trace(job),
+        )
+
+
+def _trace(job: execution.Job) -> str:
+    return f"{job.trace}#{uuid.uuid4().hex[:8]}"
+
+
+def setup(app: application.Application) -> None:
+    """Register the transactions of callers."""
+    app.add_part("proxy", "transaction-calls", lambda app: TransactionCalls(app=app))
--- /dev/null
+++ b/src/greengageshunt/proxy/transactions.py
@@ -0,0 +1,354 @@
+"""Open transactions at the owner of the primary: one task and one connection for each."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import logging
+import math
+import secrets
+from collections import abc
+from typing import Any
+
+from greengageshunt import application, config, errors, logs, model
+from greengageshunt.peers import messages
+from greengageshunt.proxy import connection as connection_module
+from greengageshunt.proxy import owner, rejection
+from greengageshunt.requests import ledger
+
+logger = logging.getLogger(__name__)
+
+_NUMBER_BYTES = 12
+
+# Number of ended transactions whose end can still be told.
+ENDED_KEPT = 1000
+
+# Seconds for a statement that ends a transaction on behalf of nobody.
+ROLLBACK_TIMEOUT = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, eq=False)
+class Command:
+    """One request for an open transaction.
+
+    Attributes:
+        run: Coroutine function that takes the lease of the connection.
+        ends: Whether the transaction has ended afterwards, whatever the result.
+        future: Receives the result.
+    """
+
+    run: abc.Callable[[connection_module.Lease], abc.Awaitable[Any]]
+    ends: bool
+    future: asyncio.Future[Any]
+
+
+class OpenTransaction:
+    """State of one open transaction."""
+
+    def __init__(self, *, begin: messages.TransactionBegin, number: str) -> None:
+        self.begin = begin
+        self.number = number
+        self.commands: asyncio.Queue[Command] = asyncio.Queue()
+        self.connection: Any = None
+        self.commit_sent = False
+
+
+class TransactionKeeper:
+    """Holds the open transactions of the owned primaries."""
+
+    def __init__(self, *, app: application.Application) -> None:
+        self._app = app
+        self._owner = app.part("proxy", "owner")
+        self._invariants = app.part("invariants", "default")
+        self._idle_limit = app.settings["transactions.idle_limit"]
+        self._total_limit = app.settings["transactions.total_limit"]
+        self._open: dict[str, OpenTransaction] = {}
+        self._ended: collections.OrderedDict[str, str] = collections.OrderedDict()
+        self._tasks: set[asyncio.Task[None]] = set()
+        server = app.part("peers", "server")
+        server.add_handler(messages.TransactionBegin, self.begin)
+        server.add_handler(messages.TransactionEnd, self.end)
+
+    @property
+    def open_count(self) -> int:
+        """Number of open transactions."""
+        return len(self._open)
+
+    async def run(self) -> None:
+        """Hold open transactions until cancelled."""
+        try:
+            await asyncio.Event().wait()
+        finally:
+            for task in self._tasks:
+                task.cancel()
+
+    async def begin(
+        self, message: messages.TransactionBegin, received_at: float
+    ) -> messages.TransactionBegun:
+        """Open a transaction.
+
+        Raises:
+            RefusedError: The transaction was not opened.
+        """
+        record, target = self._owner.find(message.group, message.target)
+        if self._app.stopping:
+            raise rejection.not_run("owner_leaving", "the owner is stopping", message.target)
+        if message.target in record.draining:
+            raise rejection.not_run("target_draining", "it takes no new work", message.target)
+        self._owner.check_grant(record, message.target, message.term)
+        owned = self._owner.owned(target)
+        limit = owned.pool.size - target.slots
+        held = sum(1 for opened in self._open.values() if opened.begin.target == message.target)
+        if held >= limit:
+            raise rejection.not_run(
+                "transactions_full", f"{held} of {limit} transactions are open", message.target
+            )
+        number = secrets.token_hex(_NUMBER_BYTES)
+        opened = OpenTransaction(begin=message, number=number)
+        self._open[number] = opened
+        ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        task = asyncio.create_task(self._hold(opened, owned, ready), name=f"transaction {number}")
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        await ready
+        return messages.TransactionBegun(number=number)
+
+    async def execute(self, message: messages.Execute, received_at: float) -> messages.Executed:
+        """Run a statement inside an open transaction.
+
+        Raises:
+            RefusedError: The statement was rejected, which rolls the transaction back,
+                or it did not run.
+        """
+        opened = self._find(message.transaction, message.work.account)
+        entry = owner.queue_entry(message, received_at)
+        _, target = self._owner.find(opened.begin.group, opened.begin.target)
+        gate = self._owner.owned(target).pool.gate
+
+        async def run(lease: connection_module.Lease) -> model.Answer:
+            async with gate.slot(entry):
+                return await self._statement(opened, lease, entry.deadline, message.work)
+
+        answer = await self._submit(opened, run, ends=False)
+        return owner.executed(answer, math.inf, message.trace)
+
+    async def end(self, message: messages.TransactionEnd, received_at: float) -> messages.Executed:
+        """Commit or roll back an open transaction.
+
+        Raises:
+            RefusedError: The transaction did not commit, or the outcome is unknown.
+        """
+        opened = self._find(message.number, message.work.account)
+        record, target = self._owner.find(opened.begin.group, opened.begin.target)
+        owned = self._owner.owned(target)
+        deadline = received_at + message.timeout
+        if not message.commit:
+
+            async def roll_back(lease: connection_module.Lease) -> model.Answer:
+                return await self._roll_back(lease, deadline)
+
+            answer = await self._submit(opened, roll_back, ends=True)
+            return owner.executed(answer, math.inf, message.trace)
+        self._owner.check_grant(record, target.name, opened.begin.term)
+
+        async def commit(lease: connection_module.Lease) -> model.Answer:
+            return await self._commit(opened, lease, message.work, deadline)
+
+        answer = await self._submit(opened, commit, ends=True)
+        answer, grant = await self._owner.acknowledge(
+            owned, record.group, opened.begin.term, answer, deadline
+        )
+        return owner.executed(answer, grant - received_at, message.trace)
+
+    def _find(self, number: str, account: str) -> OpenTransaction:
+        opened = self._open.get(number)
+        if opened is not None and opened.begin.account == account:
+            return opened
+        end = self._ended.get(number, "it is not open here")
+        raise errors.RefusedError(
+            errors.Refusal(
+                code="transaction_ended" if number in self._ended else "transaction_unknown",
+                message=f"transaction: {end}",
+                outcome=errors.Outcome.NOT_RUN,
+                step="transaction",
+            )
+        )
+
+    async def _submit(
+        self,
+        opened: OpenTransaction,
+        run: abc.Callable[[connection_module.Lease], abc.Awaitable[Any]],
+        *,
+        ends: bool,
+    ) -> Any:
+        future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        await opened.commands.put(Command(run=run, ends=ends, future=future))
+        return await future
+
+    async def _hold(
+        self,
+        opened: OpenTransaction,
+        owned: owner.OwnedTarget,
+        ready: asyncio.Future[None],
+    ) -> None:
+        """Open the transaction, run its commands one after the other, and end it."""
+        end = "rolled back: its owner stopped"
+        total_end = self._app.clock() + self._total_limit
+        owned.pool.add_user()
+        lease = None
+        try:
+            lease = await owned.pool.take(self._app.clock() + opened.begin.timeout)
+            await self._begin(opened, lease)
+            ready.set_result(None)
+            end = await self._serve(opened, lease, total_end)
+        except errors.TargetError as error:
+            end = f"rolled back: {error}"
+            if not ready.done():
+                ready.set_exception(rejection.of_target_error(error, commit_sent=False))
+        except errors.RefusedError as error:
+            end = f"rolled back: {error}"
+            if not ready.done():
+                ready.set_exception(error)
+        finally:
+            self._close(opened, end)
+            if lease is not None:
+                with contextlib.suppress(errors.TargetError):
+                    await self._roll_back(lease, self._app.clock() + ROLLBACK_TIMEOUT)
+                owned.pool.release(lease)
+            owned.pool.remove_user()
+
+    async def _serve(
+        self, opened: OpenTransaction, lease: connection_module.Lease, total_end: float
+    ) -> str:
+        """Run commands until one ends the transaction; return how it ended."""
+        while True:
+            remaining = total_end - self._app.clock()
+            try:
+                async with asyncio.timeout(max(0.0, min(self._idle_limit, remaining))):
+                    command = await opened.commands.get()
+            except TimeoutError:
+                return "rolled back: its time limit passed"
+            end = await self._run_command(command, lease)
+            if end:
+                return end
+
+    async def _run_command(self, command: Command, lease: connection_module.Lease) -> str:
+        """Run one command; return how it ended the transaction, or an empty string."""
+        try:
+            value = await command.run(lease)
+        except errors.RefusedError as error:
+            # Most often the deadline passed in the queue; the transaction is as before.
+            _fail(command, error)
+            return f"ended: {error}" if command.ends else ""
+        except errors.TargetError as error:
+            _fail(command, rejection.of_target_error(error, commit_sent=False))
+            return f"rolled back: {error}"
+        if not command.future.done():
+            command.future.set_result(value)
+        return "ended by its caller" if command.ends else ""
+
+    async def _begin(self, opened: OpenTransaction, lease: connection_module.Lease) -> None:
+        async def job(connection: Any) -> None:
+            opened.connection = connection
+            await connection.run("begin", "BEGIN")
+
+        await lease.connection.submit(job, lease, self._app.clock() + opened.begin.timeout)
+
+    def _check_connection(self, opened: OpenTransaction, connection: Any) -> None:
+        self._invariants.check(
+            "transaction-on-one-connection",
+            connection is opened.connection,
+            transaction=opened.number,
+        )
+
+    async def _statement(
+        self,
+        opened: OpenTransaction,
+        lease: connection_module.Lease,
+        deadline: float,
+        work: model.Work,
+    ) -> model.Answer:
+        async def job(connection: Any) -> model.Answer:
+            self._check_connection(opened, connection)
+            return await ledger.read(connection, work, self._app.clock())
+
+        return await lease.connection.submit(job, lease, deadline)
+
+    async def _roll_back(self, lease: connection_module.Lease, deadline: float) -> model.Answer:
+        async def job(connection: Any) -> model.Answer:
+            await connection.run("rollback", "ROLLBACK")
+            return model.Answer(
+                columns=(),
+                rows=(),
+                row_count=0,
+                position=model.Position(term=0, offset=0),
+                target=connection.target.name,
+            )
+
+        return await lease.connection.submit(job, lease, deadline)
+
+    async def _commit(
+        self,
+        opened: OpenTransaction,
+        lease: connection_module.Lease,
+        work: model.Work,
+        deadline: float,
+    ) -> model.Answer:
+        attempt = ledger.Attempt()
+
+        async def job(connection: Any) -> model.Answer:
+            self._check_connection(opened, connection)
+            return await ledger.commit_transaction(connection, work, self._app.clock(), attempt)
+
+        try:
+            return await lease.connection.submit(job, lease, deadline)
+        except errors.TargetError as error:
+            raise rejection.of_target_error(error, commit_sent=attempt.commit_sent) from error
+        finally:
+            opened.commit_sent = attempt.commit_sent
+
+    def _close(self, opened: OpenTransaction, end: str) -> None:
+        del self._open[opened.number]
+        self._ended[opened.number] = end
+        if len(self._ended) > ENDED_KEPT:
+            self._ended.popitem(last=False)
+        while not opened.commands.empty():
+            error = rejection.not_run("transaction_ended", end, opened.begin.target)
+            _fail(opened.commands.get_nowait(), error)
+        logs.log_decision(
+            logger,
+            "end-transaction",
+            transaction=opened.number,
+            account=opened.begin.account,
+            target=opened.begin.target,
+            reason=end,
+        )
+
+
+def _fail(command: Command, error: Exception) -> None:
+    if not command.future.done():
+        command.future.set_exception(error)
+
+
+def setup(app: application.Application) -> None:
+    """Register the open transactions."""
+    app.add_setting(
+        config.Setting(
+            key="transactions.idle_limit",
+            kind=float,
+            default=5.0,
+            doc="Seconds without a statement after which a transaction is rolled back.",
+            check=config.is_positive,
+        )
+    )
+    app.add_setting(
+        config.Setting(
+            key="transactions.total_limit",
+            kind=float,
+            default=20.0,
+            doc="Seconds after which a transaction is rolled back.",
+            check=config.is_positive,
+        )
+    )
+    app.add_part("proxy", "transactions", lambda app: TransactionKeeper(app=app))
+    app.add_part("service", "transactions", lambda app: app.part("proxy", "transactions"))
--- a/src/greengageshunt/requests/ledger.py
+++ b/src/greengageshunt/requests/ledger.py
@@ -1,37 +1,74 @@
 """Request ids and outcomes, stored at the target in the write's own transaction."""
 
+import hashlib
 import json
+import logging
+import math
 from collections import abc
 from typing import Any
 
-from greengageshunt import codec, errors, model
+from greengageshunt import errors, model
 from greengageshunt.routing import history
 
+logger = logging.getLogger(__name__)
+
 UNIQUE_VIOLATION = "23505"
 
+DONE = "done"
+REFUSED = "refused"
+
 # Table that each group must have; see docs/platform.md.
 SCHEMA = """CREATE TABLE IF NOT EXISTS ggs_requests (
     account TEXT NOT NULL,
     request_id TEXT NOT NULL,
     state TEXT NOT NULL,
+    fingerprint TEXT NOT NULL,
     answer TEXT NOT NULL,
     PRIMARY KEY (account, request_id)
 )"""
 
 _INSERT = (
-    "INSERT INTO ggs_requests (account, request_id, state, answer)"
-    " VALUES (%(account)s, %(request_id)s, %(state)s, '')"
+    "INSERT INTO ggs_requests (account, request_id, state, fingerprint, answer)"
+    " VALUES (%(account)s, %(request_id)s, %(state)s, %(fingerprint)s, '')"
 )
 _COMPLETE = (
     "UPDATE ggs_requests SET answer = %(answer)s"
     " WHERE account = %(account)s AND request_id = %(request_id)s"
 )
 _LOOK_UP = (
-    "SELECT state, answer FROM ggs_requests"
+    "SELECT state, fingerprint, answer FROM ggs_requests"
     " WHERE account = %(account)s AND request_id = %(request_id)s"
 )
 
 
+class Attempt:
+    """How far one run of a write came; read when its connection is lost."""
+
+    def __init__(self) -> None:
+        self.commit_sent = False
+        self.committed = False
+
+
+def fingerprint(route: str, parameters: abc.Mapping[str, model.Value]) -> str:
+    """Return the digest by which a reused request id is told from a repeated request."""
+    content = json.dumps([route, dict(parameters)], sort_keys=True)
+    return hashlib.sha256(content.encode("utf-8", "surrogatepass")).hexdigest()
+
+
+def plain_value(value: Any) -> model.Value:
+    """Return a column value in a type that JSON and CBOR can carry.
+
+    Numbers, dates and other types without a JSON form become text.
+    """
+    if isinstance(value, float) and not math.isfinite(value):
+        return str(value)
+    if value is None or isinstance(value, str | int | float | bool):
+        return value
+    if isinstance(value, bytes | bytearray | memoryview):
+        return bytes(value).hex()
+    return str(value)
+
+
 def _key(work: model.Work) -> dict[str, model.Value]:
     return {"account": work.account, "request_id": work.request_id}
 
@@ -42,8 +79,8 @@
 
 def _answer(target: str, statement: Any, status: model.TargetStatus) -> model.Answer:
     return model.Answer(
-        columns=statement.columns,
-        rows=statement.rows,
+        columns=tuple(statement.columns),
+        rows=tuple(tuple(plain_value(value) for value in row) for row in statement.rows),
         row_count=statement.row_count,
         position=history.last_position(status),
         target=target,
@@ -51,85 +88,220 @@
 
 
 async def read(connection: Any, work: model.Work, now: float) -> model.Answer:
-    """Run a reading statement.
+    """Run a statement outside of the ledger, or inside an open transaction.
 
     The status is read first, so that the position is not newer than the rows.
 
     Raises:
+        RefusedError: The target does not contain the position that the session has seen.
         TargetError: The target rejected the statement or the connection failed.
     """
     status, statement = await connection.run_after_status(
         "read", work.statement, _parameters(work), now
     )
+    # The target was chosen by an older status; its log may have been cut since.
+    if work.after is not None and not history.contains(status, work.after):
+        raise _refusal("position_not_reached", "the target lacks it", work, status.target)
     return _answer(connection.target.name, statement, status)
 
 
-async def write(connection: Any, work: model.Work, now: float) -> model.Answer:
+async def write(connection: Any, work: model.Work, now: float, attempt: Attempt) -> model.Answer:
     """Run a writing statement and store its request id in the same transaction.
 
+    Without a request id, only the statement is run and committed.
+
+    Args:
+        connection: Connection to the primary.
+        work: Statement with parameters and request id.
+        now: Monotonic seconds.
+        attempt: Receives how far the run came.
+
     Returns:
-        The answer, or that of the earlier run of the same request id.
+        The answer, that of the earlier run of the same request id, or the refusal
+        stored under it.
 
     Raises:
-        RefusedError: A refusal was stored under the request id.
-        TargetError: The target rejected a statement or the connection failed; without
-            a code, the transaction may have committed.
+        RefusedError: The request id belongs to another request.
+        TargetError: The target rejected a statement or the connection failed. With a
+            code, or before ``attempt.commit_sent``, the transaction did not commit.
     """
     try:
-        if not await _claim(connection, work, "done"):
+        if not await _claim(connection, work, DONE):
             return await look_up(connection, work, now)
         (statement,) = await connection.run("write", work.statement, _parameters(work))
-        stored = {
-            "columns": statement.columns,
-            "rows": statement.rows,
-            "row_count": statement.row_count,
-        }
-        answer = json.dumps(codec.to_plain(stored))
-        await connection.run("store-answer", _COMPLETE, {**_key(work), "answer": answer})
-        status = await connection.commit(now)
+        if work.request_id:
+            await connection.run(
+                "store-answer", _COMPLETE, {**_key(work), "answer": _stored(statement)}
+            )
     except errors.TargetError as error:
         if error.code:
             await connection.run("rollback", "ROLLBACK")
         raise
+    status = await commit(connection, work, now, attempt)
     return _answer(connection.target.name, statement, status)
 
 
-async def _claim(connection: Any, work: model.Work, state: str) -> bool:
-    """Open a transaction and insert a request id; return False if it exists."""
+async def refuse(connection: Any, work: model.Work, now: float, attempt: Attempt) -> model.Answer:
+    """Store a refusal under a request id, after which the request can never run.
+
+    Returns:
+        An answer marked as refused, or the stored answer if the request ran.
+
+    Raises:
+        RefusedError: The request id belongs to another request.
+        TargetError: As for ``write``.
+    """
     try:
-        await connection.run("claim", f"BEGIN; {_INSERT}", {**_key(work), "state": state})
+        claimed = await _claim(connection, work, REFUSED)
     except errors.TargetError as error:
-        if error.code != UNIQUE_VIOLATION:
+        if error.code:
+            await connection.run("rollback", "ROLLBACK")
+        raise
+    if not claimed:
+        return await look_up(connection, work, now)
+    status = await commit(connection, work, now, attempt)
+    return _refused_answer(connection.target.name, status)
+
+
+async def commit(
+    connection: Any, work: model.Work, now: float, attempt: Attempt
+) -> model.TargetStatus:
+    """Commit the open transaction and return the status after it.
+
+    The commit and the status query travel together, so a rejection may concern
+    either; the request id in the ledger tells which.
+
+    Raises:
+        TargetError: As for ``write``.
+    """
+    attempt.commit_sent = True
+    try:
+        status = await connection.commit(now)
+    except errors.TargetError as error:
+        if not error.code:
             raise
         await connection.run("rollback", "ROLLBACK")
-        return False
-    return True
+        if not work.request_id:
+            raise
+        status, found = await connection.run_after_status("look-up", _LOOK_UP, _key(work), now)
+        if not found.rows:
+            attempt.commit_sent = False
+            raise
+    attempt.committed = True
+    return status
+
+
+async def commit_transaction(
+    connection: Any, work: model.Work, now: float, attempt: Attempt
+) -> model.Answer:
+    """Store the request id of a commit inside the open transaction, and commit.
+
+    Returns:
+        An answer without rows, that of an earlier commit, or a stored refusal.
+
+    Raises:
+        TargetError: As for ``write``.
+    """
+    empty = json.dumps({"columns": [], "rows": [], "row_count": 0})
+    try:
+        await connection.run("claim", _INSERT, _claim_values(work, DONE))
+        await connection.run("store-answer", _COMPLETE, {**_key(work), "answer": empty})
+    except errors.TargetError as error:
+        if error.code:
+            await connection.run("rollback", "ROLLBACK")
+        if error.code != UNIQUE_VIOLATION:
+            raise
+        return await look_up(connection, work, now)
+    status = await commit(connection, work, now, attempt)
+    return model.Answer(
+        columns=(),
+        rows=(),
+        row_count=0,
+        position=history.last_position(status),
+        target=connection.target.name,
+    )
 
 
 async def look_up(connection: Any, work: model.Work, now: float) -> model.Answer:
     """Return the stored answer of a request id.
 
     Raises:
-        RefusedError: The request did not run: a refusal or nothing is stored.
+        RefusedError: Nothing is stored, or the id belongs to another request.
         TargetError: The connection failed.
     """
     status, found = await connection.run_after_status("look-up", _LOOK_UP, _key(work), now)
-    if not found.rows or found.rows[0][0] == "refused":
-        raise errors.RefusedError(
-            errors.Refusal(
-                code="request_refused" if found.rows else "request_unknown",
-                message=f"request {work.request_id!r} did not run",
-                outcome=errors.Outcome.NOT_RUN,
-                step="look-up",
-                peer=connection.target.name,
-            )
-        )
-    stored = json.loads(str(found.rows[0][1]))
+    target = connection.target.name
+    if not found.rows:
+        raise _refusal("request_unknown", "nothing is stored under this request id", work, target)
+    state, stored_fingerprint, text = found.rows[0]
+    if work.action is not model.Action.LOOK_UP and stored_fingerprint != _fingerprint(work):
+        raise _refusal("request_id_reused", "it belongs to another request", work, target)
+    if state == REFUSED:
+        return _refused_answer(target, status)
+    stored = json.loads(str(text))
     return model.Answer(
         columns=tuple(stored["columns"]),
         rows=tuple(tuple(row) for row in stored["rows"]),
         row_count=stored["row_count"],
         position=history.last_position(status),
-        target=connection.target.name,
+        target=target,
         repeated=True,
     )
+
+
+def _fingerprint(work: model.Work) -> str:
+    return fingerprint(work.route, work.parameters)
+
+
+def _claim_values(work: model.Work, state: str) -> dict[str, model.Value]:
+    return {**_key(work), "state": state, "fingerprint": _fingerprint(work)}
+
+
+def _stored(statement: Any) -> str:
+    rows = [[plain_value(value) for value in row] for row in statement.rows]
+    document = {
+        "columns": list(statement.columns),
+        "rows": rows,
+        "row_count": statement.row_count,
+    }
+    return json.dumps(document)
+
+
+async def _claim(connection: Any, work: model.Work, state: str) -> bool:
+    """Open a transaction and insert a request id; return False if it exists."""
+    if not work.request_id:
+        await connection.run("begin", "BEGIN")
+        return True
+    try:
+        await connection.run("claim", f"BEGIN; {_INSERT}", _claim_values(work, state))
+    except errors.TargetError as error:
+        if error.code != UNIQUE_VIOLATION:
+            raise
+        await connection.run("rollback", "ROLLBACK")
+        return False
+    return True
+
+
+def _refused_answer(target: str, status: model.TargetStatus) -> model.Answer:
+    return model.Answer(
+        columns=(),
+        rows=(),
+        row_count=0,
+        position=history.last_position(status),
+        target=target,
+        refused=True,
+    )
+
+
+def _refusal(code: str, message: str, work: model.Work, target: str) -> errors.RefusedError:
+    # An id without an entry may belong to a request that is still on its way.
+    unknown = code == "request_unknown"
+    return errors.RefusedError(
+        errors.Refusal(
+            code=code,
+            message=f"request {work.request_id!r}: {message}",
+            outcome=errors.Outcome.UNKNOWN if unknown else errors.Outcome.NOT_RUN,
+            step="look-up",
+            peer=target,
+        )
+    )
--- a/src/greengageshunt/routing/decision.py
+++ b/src/greengageshunt/routing/decision.py
@@ -18,6 +18,7 @@
         waits: Seconds that a request would wait for a slot, by target.
         live_targets: Names of targets that answered within the heartbeat deadline.
         in_transaction: Whether the request belongs to an open transaction.
+        avoided: Names of targets that failed an earlier try of the request.
     """
 
     route: model.Route
@@ -28,6 +29,7 @@
     waits: dict[str, float]
     live_targets: frozenset[str]
     in_transaction: bool
+    avoided: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/greengageshunt/routing/position.py
+++ b/src/greengageshunt/routing/position.py
@@ -33,8 +33,9 @@
 def eligible_replicas(inputs: decision.RoutingInput) -> tuple[model.TargetStatus, ...]:
     """Return the replicas that may serve a read.
 
-    A replica is eligible if it answers, is not draining, lags by no more than
-    the route's staleness, and contains the session's position.
+    A replica is eligible if it answers, is not draining, did not fail an earlier
+    try, lags by no more than the route's staleness, and contains the session's
+    position.
     """
     record = inputs.record
     return tuple(
@@ -43,6 +44,7 @@
         if status.target != record.primary
         and status.target in inputs.live_targets
         and status.target not in record.draining
+        and status.target not in inputs.avoided
         and inputs.lags.get(status.target, math.inf) <= inputs.route.staleness
         and (inputs.position is None or history.contains(status, inputs.position))
     )
--- a/src/greengageshunt/standins/fleet.py
+++ b/src/greengageshunt/standins/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import os
 import pathlib
 import signal
@@ -44,7 +45,11 @@
 
 
 class Fleet:
-    """Processes of a fleet, by name: ``platform``, targets, ``vm-1``, ``failover-vm-1``."""
+    """Processes of a fleet, by name: ``platform``, targets, ``vm-1``, ``failover-vm-1``.
+
+    ``published`` maps addresses on which targets and peer servers listen to those
+    that the platform tells, so that a test can put a relay between.
+    """
 
     def __init__(
         self,
@@ -56,6 +61,7 @@
         lag_ms: float = 5.0,
         strict: bool = True,
         extra_settings: str = "",
+        published: dict[str, str] | None = None,
     ) -> None:
         self._layout = layout
         self._directory = directory
@@ -64,6 +70,7 @@
         self._lag_ms = lag_ms
         self._strict = strict
         self._extra_settings = extra_settings
+        self._published = published or {}
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._session: aiohttp.ClientSession | None = None
 
@@ -107,8 +114,14 @@
         await self._wait_http(f"http://{self._layout.platform_address}/control/counts")
         await self.publish(configuration)
         for group in self._layout.groups:
-            await self._put(f"rows/{polling.GROUP_PREFIX}{group.group}", codec.to_json(group))
-        members = [codec.to_plain(vm.member) for vm in self._layout.vms]
+            record = codec.to_json(self._with_published_addresses(group))
+            await self._put(f"rows/{polling.GROUP_PREFIX}{group.group}", record)
+        members = [
+            codec.to_plain(
+                dataclasses.replace(vm.member, peer_address=self._publish(vm.member.peer_address))
+            )
+            for vm in self._layout.vms
+        ]
         async with self.session.put(self._platform("control/vms"), json=members) as response:
             response.raise_for_status()
 
@@ -202,6 +215,16 @@
         with self.log_path(name).open("ab") as log:
             self._processes[name] = subprocess.Popen(command, stderr=log, stdout=log)
 
+    def _publish(self, address: str) -> str:
+        return self._published.get(address, address)
+
+    def _with_published_addresses(self, group: model.GroupRecord) -> model.GroupRecord:
+        targets = tuple(
+            dataclasses.replace(target, address=self._publish(target.address))
+            for target in group.targets
+        )
+        return dataclasses.replace(group, targets=targets)
+
     def _platform(self, path: str) -> str:
         return f"http://{self._layout.platform_address}/{path}"
 
--- a/src/greengageshunt/standins/target.py
+++ b/src/greengageshunt/standins/target.py
@@ -309,6 +309,11 @@
             return wire.ResultSet(columns=(), rows=(), tag="ROLLBACK")
         if self._failed:
             raise wire.StatementError("25P02", "current transaction is aborted")
+        if verb not in _READ_VERBS:
+            # A statement that waits for a lock occupies no slot; otherwise the
+            # holder of the lock could wait for a slot of those that wait for it.
+            self._check_writable()
+            await self._take_lock()
         async with self._target.slots:
             # Bookkeeping by key is far cheaper than the callers' statements.
             if "ggs_requests" not in statement:
@@ -342,7 +347,6 @@
     async def _write(self, statement: str) -> wire.ResultSet:
         self._check_writable()
         single = not self._in_transaction
-        await self._take_lock()
         if single:
             self._begin()
         try:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -55,11 +55,15 @@
             configuration: model.Configuration,
             profile: layout.Profile = layout.SMALL,
             schema: str = configurations.SCHEMA,
+            relays: abc.Callable[[layout.Layout], abc.Awaitable[dict[str, str]]] | None = None,
             **options: object,
         ) -> fleet.Fleet:
             base_port = fleet.free_base_port(layout.ports_needed(profile))
+            built = layout.build(profile, base_port)
+            if relays is not None:
+                options["published"] = await relays(built)
             started = fleet.Fleet(
-                layout=layout.build(profile, base_port),
+                layout=built,
                 directory=tmp_path,
                 schema=schema,
                 **options,
--- a/tests/support/callers.py
+++ b/tests/support/callers.py
@@ -44,15 +44,49 @@
         **parameters: Any,
     ) -> Reply:
         """Run a route through the proxy at an address."""
+        headers = self._headers(timeout_ms, request_id)
+        body: dict[str, Any] = {"parameters": parameters}
+        if transaction:
+            body["transaction"] = transaction
+        url = f"http://{address}/v1/routes/{route}"
+        return await self._send("POST", url, headers, body)
+
+    async def look_up(
+        self, address: str, route: str, request_id: str, timeout_ms: int = 5000
+    ) -> Reply:
+        """Ask for the outcome of a request id."""
+        url = f"http://{address}/v1/requests/{route}/{request_id}"
+        return await self._send("GET", url, self._headers(timeout_ms), None)
+
+    async def begin(self, address: str, group: str, timeout_ms: int = 5000) -> Reply:
+        """Open a transaction."""
+        url = f"http://{address}/v1/transactions"
+        return await self._send("POST", url, self._headers(timeout_ms), {"group": group})
+
+    async def end(
+        self,
+        address: str,
+        transaction: str,
+        verb: str,
+        *,
+        request_id: str = "",
+        timeout_ms: int = 5000,
+    ) -> Reply:
+        """Commit or roll back a transaction."""
+        url = f"http://{address}/v1/transactions/{transaction}/{verb}"
+        return await self._send("POST", url, self._headers(timeout_ms, request_id), None)
+
+    def _headers(self, timeout_ms: int, request_id: str = "") -> dict[str, str]:
         headers = {"Timeout-Ms": str(timeout_ms), "Session-Token": self._token}
         if self._key:
             headers["Authorization"] = f"Bearer {self._key}"
         if request_id:
             headers["Request-Id"] = request_id
-        body: dict[str, Any] = {"parameters": parameters}
-        if transaction:
-            body["transaction"] = transaction
-        url = f"http://{address}/v1/routes/{route}"
-        async with self._session.post(url, json=body, headers=headers) as response:
+        return headers
+
+    async def _send(
+        self, method: str, url: str, headers: dict[str, str], body: dict[str, Any] | None
+    ) -> Reply:
+        async with self._session.request(method, url, json=body, headers=headers) as response:
             self._token = response.headers.get("Session-Token", self._token)
             return Reply(status=response.status, document=await response.json(), token=self._token)
--- /dev/null
+++ b/tests/support/relay.py
@@ -0,0 +1,146 @@
+"""A TCP relay that can silence, cut and delay connections."""
+
+import asyncio
+import contextlib
+from collections import abc
+
+CHUNK = 2**16  # bytes
+
+
+class Connection:
+    """One relayed connection."""
+
+    def __init__(self, *, client: asyncio.StreamWriter, server: asyncio.StreamWriter) -> None:
+        self._writers = (client, server)
+        self._passing = asyncio.Event()
+        self._passing.set()
+
+    @property
+    def silent(self) -> bool:
+        """Whether the connection forwards nothing."""
+        return not self._passing.is_set()
+
+    def silence(self) -> None:
+        """Forward nothing from now on, and keep both sides open."""
+        self._passing.clear()
+
+    def cut(self) -> None:
+        """Close both sides at once."""
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def passing(self) -> None:
+        """Wait until the connection is not silent."""
+        await self._passing.wait()
+
+
+class Relay:
+    """Forwards TCP connections from an own port to an address."""
+
+    def __init__(self, *, address: str) -> None:
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._server: asyncio.Server | None = None
+        self._connections: set[Connection] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._cut_pattern = b""
+        self._cuts_left = 0
+        self._silence_pattern = b""
+        self._silences_left = 0
+        self.delay = 0.0
+        self.accepted = 0
+        self.cuts = 0
+        self.silenced = 0
+
+    @property
+    def address(self) -> str:
+        """Address on which the relay listens."""
+        host, port = self._server.sockets[0].getsockname()
+        return f"{host}:{port}"
+
+    @property
+    def connections(self) -> frozenset[Connection]:
+        """Open connections."""
+        return frozenset(self._connections)
+
+    async def start(self) -> None:
+        """Listen on a free port of the loopback interface."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+
+    async def stop(self) -> None:
+        """Close all connections and the port."""
+        self._server.close()
+        for connection in self._connections:
+            connection.cut()
+        for task in self._tasks:
+            task.cancel()
+
+    def cut_at(self, pattern: bytes, count: int) -> None:
+        """Cut the next connections that send a pattern, before it is forwarded."""
+        self._cut_pattern, self._cuts_left = pattern, count
+
+    def silence_at(self, pattern: bytes, count: int) -> None:
+        """Silence the next connections that send a pattern, before it is forwarded."""
+        self._silence_pattern, self._silences_left = pattern, count
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.accepted += 1
+        try:
+            far_reader, far_writer = await asyncio.open_connection(self._host, self._port)
+        except OSError:
+            writer.transport.abort()
+            return
+        connection = Connection(client=writer, server=far_writer)
+        self._connections.add(connection)
+        pumps = {
+            asyncio.create_task(self._pump(connection, reader, far_writer, True)),
+            asyncio.create_task(self._pump(connection, far_reader, writer, False)),
+        }
+        self._tasks |= pumps
+        await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        connection.cut()
+        self._connections.discard(connection)
+        for pump in pumps:
+            pump.cancel()
+        self._tasks -= pumps
+
+    async def _pump(
+        self,
+        connection: Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        to_server: bool,
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(CHUNK):
+                if to_server and self._matches(connection, data):
+                    return
+                if self.delay:
+                    await asyncio.sleep(self.delay)
+                await connection.passing()
+                writer.write(data)
+                await writer.drain()
+
+    def _matches(self, connection: Connection, data: bytes) -> bool:
+        """Apply the patterns; return whether the connection is cut."""
+        if self._silences_left and self._silence_pattern in data:
+            self._silences_left -= 1
+            self.silenced += 1
+            connection.silence()
+        if self._cuts_left and self._cut_pattern in data:
+            self._cuts_left -= 1
+            self.cuts += 1
+            return True
+        return False
+
+
+async def relay_all(
+    addresses: abc.Iterable[str], stack: contextlib.AsyncExitStack
+) -> dict[str, Relay]:
+    """Start a relay for each address; they stop with the stack."""
+    relays = {}
+    for address in addresses:
+        relays[address] = Relay(address=address)
+        await relays[address].start()
+        stack.push_async_callback(relays[address].stop)
+    return relays
--- /dev/null
+++ b/tests/test_requests/test_at_most_once.py
@@ -0,0 +1,195 @@
+"""Writes run at most once, and each stated outcome is true, with real processes."""
+
+import asyncio
+import contextlib
+import signal
+
+from support import callers, configurations, database, placement, relay
+
+BURST = 12  # writes in flight
+SPREAD = 0.004  # seconds between the writes of a burst
+PAUSE = 1.5  # seconds, longer than each deadline that detects a pause
+LAG_MS = 150.0
+COMMIT = b"COMMIT;"
+
+
+async def _write(fleet, key, vm, number, timeout_ms=4000):
+    caller = callers.Caller(session=fleet.session, key=key)
+    reply = await caller.call(
+        vm.http_address,
+        "booking.place",
+        request_id=f"request-{number}",
+        timeout_ms=timeout_ms,
+        item=f"item-{number}",
+    )
+    return number, reply
+
+
+async def _start_with_relay(start_fleet, prepared, stack):
+    """Start a fleet that reaches its primary through the returned relay."""
+    relays = {}
+
+    async def start_relays(layout):
+        group = layout.groups[0]
+        addresses = [group.target(group.primary).address]
+        relays.update(await relay.relay_all(addresses, stack))
+        return {address: started.address for address, started in relays.items()}
+
+    fleet = await start_fleet(prepared.configuration, relays=start_relays)
+    return fleet, next(iter(relays.values()))
+
+
+async def _burst(fleet, key, entries, fault, timeout_ms):
+    writes = []
+    for number in range(BURST):
+        writes.append(
+            asyncio.create_task(_write(fleet, key, entries[number % 2], number, timeout_ms))
+        )
+        await asyncio.sleep(SPREAD)
+        if number == BURST // 2:
+            fault()
+    return await asyncio.gather(*writes)
+
+
+async def _check_outcomes(fleet, key, vm, replies):
+    """Check each stated outcome, and those that were looked up, against the target."""
+    caller = callers.Caller(session=fleet.session, key=key)
+    stored = database.booked_items(fleet)
+    for number, reply in replies:
+        outcome = reply.document.get("outcome", "committed")
+        if outcome == "unknown":
+            found = await caller.look_up(vm.http_address, "booking.place", f"request-{number}")
+            outcome = found.document["outcome"]
+        expected = {"committed": {1}, "not_run": {0}, "unknown": {0, 1}}[outcome]
+        assert stored[f"item-{number}"] in expected, (number, reply, stored)
+    assert not database.violations(fleet)
+
+
+async def test_answer_lost_after_its_effect(start_fleet):
+    """Guards against a second booking, or a wrong refusal, when the answer of a commit is lost."""
+    prepared = configurations.prepare()
+    fleet = await start_fleet(prepared.configuration)
+    key = prepared.keys["account-1"]
+    vm = fleet.layout.vms[0]
+    await fleet.set_target_faults(fleet.layout.groups[0].primary, drop_answers=1)
+
+    _, reply = await _write(fleet, key, vm, 1)
+
+    assert reply.status == 200, reply.document
+    assert reply.document["repeated"]
+    assert reply.rows == [[1]]
+    assert database.booked_items(fleet) == {"item-1": 1}
+
+
+async def test_repeated_and_reused_request_ids(start_fleet):
+    """Guards against a second run through another proxy, and against another request's answer."""
+    prepared = configurations.prepare()
+    fleet = await start_fleet(prepared.configuration)
+    first, second, third = fleet.layout.vms
+    caller = callers.Caller(session=fleet.session, key=prepared.keys["account-1"])
+    other = callers.Caller(session=fleet.session, key=prepared.keys["account-2"])
+
+    written = await caller.call(
+        first.http_address, "booking.place", request_id="request-1", item="pot"
+    )
+    repeated = await caller.call(
+        second.http_address, "booking.place", request_id="request-1", item="pot"
+    )
+    reused = await caller.call(
+        third.http_address, "booking.place", request_id="request-1", item="lid"
+    )
+    of_other = await other.call(
+        third.http_address, "booking.place", request_id="request-1", item="lid"
+    )
+    found = await caller.look_up(third.http_address, "booking.place", "request-1")
+    missing = await caller.look_up(third.http_address, "booking.place", "request-2")
+
+    assert written.status == repeated.status == of_other.status == 200
+    assert repeated.rows == written.rows
+    assert repeated.document["repeated"] and not written.document["repeated"]
+    assert (reused.status, reused.document["code"]) == (409, "request_id_reused")
+    assert reused.document["outcome"] == "not_run"
+    assert found.document["outcome"] == "committed"
+    assert found.document["answer"]["rows"] == written.rows
+    assert (missing.status, missing.document["code"]) == (404, "request_unknown")
+    assert database.booked_items(fleet) == {"pot": 1, "lid": 1}
+
+
+async def test_refusal_is_stored_before_not_run_is_said(start_fleet):
+    """Guards against "not run" for a write whose commit is still on its way."""
+    prepared = configurations.prepare()
+    async with contextlib.AsyncExitStack() as stack:
+        fleet, primary = await _start_with_relay(start_fleet, prepared, stack)
+        key = prepared.keys["account-1"]
+        vm = fleet.layout.vms[0]
+        # The first try, the one that settles it, and the only further retry that the
+        # budget of a new account allows.
+        primary.cut_at(COMMIT, 3)
+
+        _, refused = await _write(fleet, key, vm, 1, timeout_ms=2000)
+        caller = callers.Caller(session=fleet.session, key=key)
+        found = await caller.look_up(vm.http_address, "booking.place", "request-1")
+        _, repeated = await _write(fleet, key, vm, 1)
+
+        assert primary.cuts == 3
+        assert refused.document["outcome"] == "not_run", refused.document
+        assert found.document["outcome"] == "not_run"
+        assert (repeated.status, repeated.document["code"]) == (409, "request_refused")
+        assert database.booked_items(fleet) == {}
+
+
+async def test_outcome_is_unknown_while_the_primary_is_silent(start_fleet):
+    """Guards against a stated outcome that nothing proves."""
+    prepared = configurations.prepare()
+    async with contextlib.AsyncExitStack() as stack:
+        fleet, primary = await _start_with_relay(start_fleet, prepared, stack)
+        key = prepared.keys["account-1"]
+        vm = fleet.layout.vms[0]
+        primary.silence_at(COMMIT, 1000)
+
+        _, reply = await _write(fleet, key, vm, 1, timeout_ms=1500)
+        primary.silence_at(COMMIT, 0)
+        for connection in primary.connections:
+            if connection.silent:
+                connection.cut()
+        _, repeated = await _write(fleet, key, vm, 1)
+
+        assert reply.document["outcome"] == "unknown", reply.document
+        assert repeated.status == 200, repeated.document
+        assert database.booked_items(fleet) == {"item-1": 1}
+
+
+async def test_owner_killed_with_writes_in_flight(start_fleet):
+    """Guards against lost or doubled bookings when the process that runs them ends."""
+    prepared = configurations.prepare()
+    # Commits wait for a slow second target, so that some have no answer yet.
+    fleet = await start_fleet(prepared.configuration, lag_ms=LAG_MS)
+    owner = placement.owner_of_primary(fleet)
+    entries = [vm for vm in fleet.layout.vms if vm != owner]
+    key = prepared.keys["account-1"]
+    await placement.wait_agreed(fleet, key)
+
+    replies = await _burst(fleet, key, entries, lambda: fleet.kill(owner.member.vm), 4000)
+
+    await _check_outcomes(fleet, key, entries[0], replies)
+
+
+async def test_owner_paused_with_writes_in_flight(start_fleet):
+    """Guards against work of a paused owner that takes effect after its refusal."""
+    prepared = configurations.prepare()
+    # Commits wait for a slow second target, so that some have no answer yet.
+    fleet = await start_fleet(prepared.configuration, lag_ms=LAG_MS)
+    owner = placement.owner_of_primary(fleet)
+    entries = [vm for vm in fleet.layout.vms if vm != owner]
+    key = prepared.keys["account-1"]
+    await placement.wait_agreed(fleet, key)
+
+    def pause():
+        fleet.signal(owner.member.vm, signal.SIGSTOP)
+
+    replies = await _burst(fleet, key, entries, pause, 2000)
+    fleet.signal(owner.member.vm, signal.SIGCONT)
+    # The resumed owner sends what it had queued.
+    await asyncio.sleep(PAUSE)
+
+    await _check_outcomes(fleet, key, entries[0], replies)
