--- a/src/greengageshunt/drivers/postgresql.py
+++ b/src/greengageshunt/drivers/postgresql.py
@@ -18,6 +18,9 @@
 # Bound of an attempt whose caller gave up; two seconds is the least that psycopg accepts.
 ABANDONED_TIMEOUT = 2  # seconds
 
+# SQLSTATE class "data exception", for values that were rejected before the sending.
+CLIENT_SIDE_REJECTION = "22000"
+
 _STATUS = "SELECT * FROM ggs_status()"
 
 
@@ -94,20 +97,32 @@
             TargetError: The target rejected a statement or the connection failed.
         """
         try:
-            cursor = await self._raw.execute(sql, parameters)
-            results = [await self._read(cursor)]
-            while cursor.nextset():
-                results.append(await self._read(cursor))
-        except psycopg.Error as error:
-            raise errors.TargetError(
-                str(error).strip(),
-                step=step,
-                peer=self._target.name,
-                sent=not isinstance(error, psycopg.ProgrammingError) or bool(error.sqlstate),
-                code=error.sqlstate or "",
-            ) from error
+            return await self._execute(sql, parameters)
+        except (psycopg.Error, UnicodeError) as error:
+            raise self._error(step, error) from error
+
+    async def _execute(
+        self, sql: str, parameters: abc.Mapping[str, model.Value] | None
+    ) -> tuple[StatementResult, ...]:
+        cursor = await self._raw.execute(sql, parameters)
+        results = [await self._read(cursor)]
+        while cursor.nextset():
+            results.append(await self._read(cursor))
         return tuple(results)
 
+    def _error(self, step: str, error: psycopg.Error | UnicodeError) -> errors.TargetError:
+        sqlstate = getattr(error, "sqlstate", None) or ""
+        rejected_here = not sqlstate and isinstance(
+            error, psycopg.ProgrammingError | psycopg.DataError | UnicodeError
+        )
+        return errors.TargetError(
+            str(error).strip(),
+            step=step,
+            peer=self._target.name,
+            sent=not rejected_here,
+            code=CLIENT_SIDE_REJECTION if rejected_here else sqlstate,
+        )
+
     async def status(self, now: float) -> model.TargetStatus:
         """Return the status of the target.
 
--- a/src/greengageshunt/proxy/service.py
+++ b/src/greengageshunt/proxy/service.py
@@ -1,68 +1,46 @@
 """The path of one request through an entry VM, independent of the front end."""
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 import math
 import uuid
-from typing import Any, TypeVar
+from collections import abc
 
-from returns import pipeline, result
+from returns import result
 
 from greengageshunt import application, errors, logs, model
 from greengageshunt.configuration import keys
-from greengageshunt.membership import ownership
-from greengageshunt.peers import messages
-from greengageshunt.proxy import reports
-from greengageshunt.routing import decision
+from greengageshunt.proxy import execution, forwarding, reports, transaction_calls
+from greengageshunt.requests import checks, transaction_id
 from greengageshunt.sessions import token
 
 logger = logging.getLogger(__name__)
 
-HOLD_INTERVAL = 0.05  # seconds between tries while a group changes its primary
-
-# Refusals of requests that did not run, after which another try may reach the
-# new primary, the new owner or another replica.
-_TRY_AGAIN = frozenset(
-    {
-        "check_expired",
-        "no_grant",
-        "owner_unreachable",
-        "target_draining",
-        "target_lost",
-        "term_changed",
-    }
-)
-
-# A target counts as live if it was checked within this many seconds.
-LIVE_DEADLINE = 1.0
-
 Handled = result.Result[model.CallerAnswer, errors.Refusal]
-_T = TypeVar("_T")
+Begun = result.Result[str, errors.Refusal]
 
 
-def refusal(
-    code: str,
-    message: str,
-    step: str,
-    *,
-    peer: str = "",
-    outcome: errors.Outcome = errors.Outcome.NOT_RUN,
-) -> errors.RefusedError:
-    """Return the error that ends a request with a refusal."""
-    return errors.RefusedError(
-        errors.Refusal(code=code, message=message, outcome=outcome, step=step, peer=peer)
-    )
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Caller:
+    """Who sent a request.
 
+    Attributes:
+        configuration: Configuration under which it was authenticated.
+        account: Client account, or an empty string on open routes.
+        session: Content of the session token.
+    """
 
-def _unwrap(value: result.Result[_T, errors.Refusal]) -> _T:
-    if pipeline.is_successful(value):
-        return value.unwrap()
-    raise errors.RefusedError(value.failure())
+    configuration: model.Configuration
+    account: str
+    session: token.Session
 
-
-def _may_try_again(refused: errors.Refusal) -> bool:
-    return refused.outcome is errors.Outcome.UNKNOWN or refused.code in _TRY_AGAIN
+    @property
+    def weight(self) -> float:
+        """Weight of the client account."""
+        known = self.configuration.accounts_by_name.get(self.account)
+        return known.weight if known else 1.0
 
 
 class ProxyService:
@@ -73,13 +51,10 @@
         self._configuration = app.part("configuration", "state")
         self._directory = app.part("groups", "directory")
         self._view = app.part("membership", "view")
-        self._links = app.part("peers", "links")
         self._confirmation = app.part("membership", "confirmation")
-        self._owner = app.part("proxy", "owner")
         self._admission = app.selected("admission")
-        self._choose = app.selected("routing")
-        self._links.add_extra("waits", self._owner.waits, self._learn_waits)
-        self._waits: dict[str, float] = {}
+        self._executor = app.part("proxy", "executor")
+        self._transactions = app.part("proxy", "transaction-calls")
         self._in_progress = 0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -97,22 +72,19 @@
 
     async def handle(self, request: model.CallerRequest) -> Handled:
         """Handle one request from authentication to the new session token."""
-        self._in_progress += 1
-        self._idle.clear()
-        started_at = self._app.clock()
-        code = "internal_error"
-        try:
-            handled = await self._handle(request)
-            code = "ok"
-            return handled
-        except errors.RefusedError as error:
-            code = error.refusal.code
-            return result.Failure(error.refusal)
-        finally:
-            self._report(request, code, started_at)
-            self._in_progress -= 1
-            if not self._in_progress:
-                self._idle.set()
+        return await self._counted(self._handle(request), request.route)
+
+    async def look_up(self, request: model.CallerRequest) -> Handled:
+        """Look up the stored outcome of a request id; a refusal counts as a failure."""
+        return await self._counted(self._look_up(request), request.route)
+
+    async def begin(self, request: model.TransactionRequest) -> Begun:
+        """Open a transaction and return its id."""
+        return await self._counted(self._begin(request))
+
+    async def end(self, request: model.TransactionRequest) -> Handled:
+        """Commit or roll back a transaction."""
+        return await self._counted(self._end(request))
 
     async def stop(self) -> None:
         """Wait until no request is in progress."""
@@ -122,239 +94,191 @@
         """Do nothing until cancelled; requests arrive through front ends."""
         await asyncio.Event().wait()
 
-    def _report(self, request: model.CallerRequest, code: str, started_at: float) -> None:
-        route = self._configuration.current.routes_by_name.get(request.route)
+    async def _counted(
+        self, handling: abc.Coroutine[None, None, result.Result], route: str = ""
+    ) -> result.Result:
+        started_at = self._app.clock()
+        code = "internal_error"
+        with self._counting():
+            try:
+                handled = await handling
+                code = "ok"
+                return handled
+            except errors.RefusedError as error:
+                code = error.refusal.code
+                return result.Failure(error.refusal)
+            finally:
+                self._report(route, code, started_at)
+
+    def _report(self, route: str, code: str, started_at: float) -> None:
+        known = self._configuration.current.routes_by_name.get(route)
         report = reports.RequestReport(
-            kind=route.kind.value if route else "unknown",
+            kind=known.kind.value if known else "unknown",
             code=code,
             seconds=self._app.clock() - started_at,
         )
         self._app.events.emit("request-handled", report)
 
+    @contextlib.contextmanager
+    def _counting(self) -> abc.Iterator[None]:
+        self._in_progress += 1
+        self._idle.clear()
+        try:
+            yield
+        finally:
+            self._in_progress -= 1
+            if not self._in_progress:
+                self._idle.set()
+
     async def _handle(self, request: model.CallerRequest) -> Handled:
         configuration = self._configuration.current
-        route = configuration.routes_by_name.get(request.route)
+        route = self._route(configuration, request.route)
+        caller = self._authenticate(configuration, route, request.key, request.token)
+        writes = route.kind is model.RouteKind.WRITE
+        execution.unwrap(checks.check_request_id(request.request_id, caller.account, writes=writes))
+        execution.unwrap(checks.check_parameters(route, request))
+        job = self._job(request, route, caller, request.parameters)
+        await self._admit(caller, job)
+        if request.transaction:
+            content = self._transaction(request.transaction, caller)
+            answer = await self._transactions.run(job, content)
+        else:
+            answer = await self._executor.run(job)
+        return self._answered(caller, route.group, answer)
+
+    async def _look_up(self, request: model.CallerRequest) -> Handled:
+        configuration = self._configuration.current
+        route = self._route(configuration, request.route)
+        caller = self._authenticate(configuration, route, request.key, request.token)
+        execution.unwrap(checks.check_request_id(request.request_id, caller.account, writes=True))
+        # Outcomes are read at the primary and under its write grant, like a write.
+        written = dataclasses.replace(route, kind=model.RouteKind.WRITE)
+        job = self._job(request, written, caller, {})
+        await self._admit(caller, job)
+        answer = await self._executor.look_up(dataclasses.replace(job, position=None))
+        return self._answered(caller, route.group, answer)
+
+    async def _begin(self, request: model.TransactionRequest) -> Begun:
+        configuration = self._configuration.current
+        route = transaction_calls.pseudo_route(request.group)
+        caller = self._authenticate(configuration, route, request.key, request.token)
+        if self._directory.record(request.group) is None:
+            raise forwarding.refusal("group_unknown", f"no group {request.group!r}", "route")
+        job = self._job(request, route, caller, {})
+        await self._admit(caller, job)
+        content = await self._transactions.begin(job)
+        return result.Success(transaction_id.encode(content, configuration.token_secret))
+
+    async def _end(self, request: model.TransactionRequest) -> Handled:
+        configuration = self._configuration.current
+        route = transaction_calls.pseudo_route("")
+        caller = self._authenticate(configuration, route, request.key, request.token)
+        execution.unwrap(checks.check_request_id(request.request_id, caller.account, writes=True))
+        content = self._transaction(request.transaction, caller)
+        route = transaction_calls.pseudo_route(content.group)
+        # The stored fingerprint binds the request id of a commit to its transaction.
+        job = self._job(request, route, caller, {"transaction": content.number})
+        if not request.commit:
+            answer = await self._transactions.roll_back(job, content)
+            return result.Success(model.CallerAnswer(answer=answer, token=request.token))
+        answer = await self._transactions.commit(job, content, bool(request.request_id))
+        return self._answered(caller, content.group, answer)
+
+    def _route(self, configuration: model.Configuration, name: str) -> model.Route:
+        route = configuration.routes_by_name.get(name)
         if route is None:
-            raise refusal("route_unknown", f"no route {request.route!r}", "route")
-        if not request.request_id:
-            # Own ids let the proxy look up the outcome of a write whose answer was lost.
-            request = dataclasses.replace(request, request_id=uuid.uuid4().hex)
-        account = self._authenticate(request, route, self._app.clock())
-        session = _unwrap(token.decode(request.token, account, configuration.token_secret))
-        await self._admit(configuration, account, request)
-        answer = await self._execute(request, route, account, session)
-        session = token.merge(session, route.group, answer.position)
-        text = token.encode(session, configuration.token_secret)
-        return result.Success(model.CallerAnswer(answer=answer, token=text))
+            raise forwarding.refusal("route_unknown", f"no route {name!r}", "route")
+        return route
+
+    def _authenticate(
+        self, configuration: model.Configuration, route: model.Route, key: str, text: str
+    ) -> Caller:
+        account = self._check_key(route, key).account
+        session = execution.unwrap(token.decode(text, account, configuration.token_secret))
+        return Caller(configuration=configuration, account=account, session=session)
 
-    def _authenticate(self, request: model.CallerRequest, route: model.Route, now: float) -> str:
-        """Return the client account of a request under the configuration in force.
+    def _check_key(self, route: model.Route, key: str) -> execution.KeyCheck:
+        """Return the client account of a key under the configuration in force.
 
         Raises:
             RefusedError: The key is not valid, or this entry VM cannot tell
                 because it may have missed a newer configuration.
         """
-        account = _unwrap(keys.authenticate(self._configuration.current, route, request.key))
-        if account and now >= self._confirmation.valid_until(now):
-            raise refusal(
+        account = execution.unwrap(keys.authenticate(self._configuration.current, route, key))
+        if not account:
+            return execution.KeyCheck(account="", valid_until=math.inf)
+        now = self._app.clock()
+        valid_until = self._confirmation.valid_until(now)
+        if now >= valid_until:
+            raise forwarding.refusal(
                 "not_confirmed",
                 "neither the platform nor a majority of the entry VMs has confirmed the"
                 " configuration lately; only open routes without a key are served",
                 "authenticate",
                 peer=self._view.me.vm,
             )
-        return account
+        return execution.KeyCheck(account=account, valid_until=valid_until)
 
-    async def _admit(
-        self, configuration: model.Configuration, account: str, request: model.CallerRequest
-    ) -> None:
-        if not account:
-            return
-        admitted = await self._admission.admit(
-            configuration.accounts_by_name[account], request.deadline
+    def _transaction(self, text: str, caller: Caller) -> transaction_id.TransactionId:
+        secret = caller.configuration.token_secret
+        return execution.unwrap(transaction_id.decode(text, caller.account, secret))
+
+    def _job(
+        self,
+        request: model.CallerRequest | model.TransactionRequest,
+        route: model.Route,
+        caller: Caller,
+        parameters: abc.Mapping[str, model.Value],
+    ) -> execution.Job:
+        # Own ids let the proxy look up the outcome of a write whose answer was lost.
+        own_id = uuid.uuid4().hex
+        needs_id = route.kind is model.RouteKind.WRITE and not route.repeatable
+        return execution.Job(
+            route=route,
+            parameters=parameters,
+            account=caller.account,
+            weight=caller.weight,
+            check=lambda: self._check_key(route, request.key),
+            position=caller.session.positions.get(route.group),
+            request_id=request.request_id or (own_id if needs_id else ""),
+            trace=request.request_id or own_id,
+            started_at=self._app.clock(),
+            deadline=request.deadline,
         )
+
+    def _answered(self, caller: Caller, group: str, answer: model.Answer) -> Handled:
+        session = token.merge(caller.session, group, answer.position)
+        text = token.encode(session, caller.configuration.token_secret)
+        return result.Success(model.CallerAnswer(answer=answer, token=text))
+
+    async def _admit(self, caller: Caller, job: execution.Job) -> None:
+        account = caller.configuration.accounts_by_name.get(caller.account)
+        if account is None:
+            return
+        admitted = await self._admission.admit(account, job.deadline)
         logs.log_decision(
             logger,
             "admit",
             level=logging.DEBUG if admitted.admitted else logging.INFO,
-            request_id=request.request_id,
-            account=account,
+            request_id=job.trace,
+            account=account.name,
             admitted=admitted.admitted,
             reason=admitted.reason,
         )
-        self._app.events.emit("admission-decided", admitted)
         if not admitted.admitted:
             raise errors.RefusedError(
                 errors.Refusal(
                     code="rate_exceeded",
-                    message=f"client account {account!r} is above its rate",
+                    message=f"client account {account.name!r} is above its rate",
                     outcome=errors.Outcome.NOT_RUN,
                     step="admit",
                     retry_after=admitted.retry_after,
                 )
             )
 
-    async def _execute(
-        self,
-        request: model.CallerRequest,
-        route: model.Route,
-        account: str,
-        session: token.Session,
-    ) -> model.Answer:
-        """Try until the request has an outcome or its deadline passes.
-
-        A write is tried again only under its request id, which the target
-        stores with it, so that it runs at most once.
-        """
-        uncertain = False
-        while True:
-            now = self._app.clock()
-            try:
-                return await self._try(request, route, account, session, now)
-            except errors.RefusedError as error:
-                refused = error.refusal
-            uncertain = uncertain or refused.outcome is errors.Outcome.UNKNOWN
-            out_of_time = self._app.clock() + HOLD_INTERVAL >= request.deadline
-            if out_of_time or not _may_try_again(refused):
-                outcome = errors.Outcome.UNKNOWN if uncertain else refused.outcome
-                raise errors.RefusedError(dataclasses.replace(refused, outcome=outcome))
-            await asyncio.sleep(HOLD_INTERVAL)
-
-    async def _try(
-        self,
-        request: model.CallerRequest,
-        route: model.Route,
-        account: str,
-        session: token.Session,
-        now: float,
-    ) -> model.Answer:
-        # The request may have been held since the first check.
-        if self._authenticate(request, route, now) != account:
-            raise refusal("key_unknown", "the key has another client account now", "authenticate")
-        record = self._directory.record(route.group)
-        if record is None:
-            raise refusal("group_unknown", f"no group {route.group!r}", "route")
-        inputs = self._routing_input(request, route, record, session, now)
-        chosen = _unwrap(self._choose(inputs, now))
-        target = record.target(chosen.target)
-        owner = ownership.owner(target, self._view.live(now))
-        position = session.positions.get(route.group)
-        logs.log_decision(
-            logger,
-            "route",
-            request_id=request.request_id,
-            account=account,
-            route=route.name,
-            group=record.group,
-            target=chosen.target,
-            owner=owner.vm if owner else "",
-            term=record.term,
-            position=position.offset if position else 0,
-            reason=chosen.reason,
-        )
-        self._app.events.emit("route-chosen", chosen)
-        message = self._message(request, route, account, chosen, now)
-        executed = await self._send(owner, message, now)
-        self._check(executed, message, now)
-        return executed.answer
-
-    def _routing_input(
-        self,
-        request: model.CallerRequest,
-        route: model.Route,
-        record: model.GroupRecord,
-        session: token.Session,
-        now: float,
-    ) -> decision.RoutingInput:
-        names = [target.name for target in record.targets]
-        statuses = [status for name in names if (status := self._directory.status(name))]
-        own_waits = self._owner.waits()
-        return decision.RoutingInput(
-            route=route,
-            record=record,
-            statuses=tuple(statuses),
-            position=session.positions.get(record.group),
-            lags={name: self._directory.lag(name, now) for name in names},
-            waits={name: own_waits.get(name, self._waits.get(name, 0.0)) for name in names},
-            live_targets=frozenset(
-                status.target for status in statuses if now - status.observed_at <= LIVE_DEADLINE
-            ),
-            in_transaction=bool(request.transaction),
-        )
-
-    def _message(
-        self,
-        request: model.CallerRequest,
-        route: model.Route,
-        account: str,
-        chosen: decision.RoutingDecision,
-        now: float,
-    ) -> messages.Execute:
-        configuration = self._configuration.current
-        known = configuration.accounts_by_name.get(account)
-        return messages.Execute(
-            group=route.group,
-            target=chosen.target,
-            work=model.Work(
-                statement=route.statement,
-                parameters=request.parameters,
-                write=route.kind is model.RouteKind.WRITE,
-                account=account,
-                request_id=request.request_id,
-                term=chosen.term,
-            ),
-            weight=known.weight if known else 1.0,
-            priority=route.priority,
-            timeout=request.deadline - now,
-            valid_for=self._confirmation.valid_until(now) - now if account else math.inf,
-            transaction=request.transaction,
-            trace=request.request_id,
-        )
-
-    async def _send(
-        self, owner: model.Member | None, message: messages.Execute, now: float
-    ) -> messages.Executed:
-        if owner is None or owner.vm == self._view.me.vm:
-            return await self._owner.execute(message, now)
-        try:
-            return await self._links.request(owner.vm, message, message.timeout)
-        except errors.PeerError as error:
-            not_run = not error.sent or not message.work.write
-            raise refusal(
-                "owner_unreachable",
-                str(error),
-                error.step,
-                peer=error.peer,
-                outcome=errors.Outcome.NOT_RUN if not_run else errors.Outcome.UNKNOWN,
-            ) from error
-
-    def _check(self, executed: messages.Executed, message: messages.Execute, now: float) -> None:
-        """Check an answer just before its acknowledgement."""
-        if executed.row_count != len(executed.answer.rows):
-            raise refusal(
-                "answer_incomplete",
-                "the answer has fewer rows than its end marker says",
-                "check",
-                peer=message.target,
-                outcome=errors.Outcome.UNKNOWN,
-            )
-        # The owner counted from its receipt, which came after this sending.
-        if self._app.clock() >= now + executed.grant_after_receipt:
-            raise refusal(
-                "grant_expired",
-                "the write grant ended before the acknowledgement",
-                "check",
-                peer=message.target,
-                outcome=errors.Outcome.UNKNOWN,
-            )
-
-    def _learn_waits(self, vm: str, value: Any, sent_at: float) -> None:
-        self._waits.update(value)
-
 
 def setup(app: application.Application) -> None:
     """Register the request path."""
-    for name in ("request-handled", "admission-decided", "route-chosen"):
-        app.add_event(name)
+    app.add_event("request-handled")
     app.add_part("proxy", "service", lambda app: ProxyService(app=app))
     app.add_part("service", "proxy", lambda app: app.part("proxy", "service"))
