--- a/src/greengageshunt/standins/fleet.py
+++ b/src/greengageshunt/standins/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import os
 import pathlib
 import signal
@@ -47,6 +48,8 @@
     """Processes of a fleet by name.
 
     Names are ``platform``, ``relay``, those of targets, ``vm-1`` and ``failover-vm-1``.
+    ``published`` maps addresses on which targets and peer servers listen to those
+    that the platform tells, so that a test can put a relay between.
     """
 
     def __init__(
@@ -59,6 +62,7 @@
         lag_ms: float = 5.0,
         strict: bool = True,
         extra_settings: str = "",
+        published: dict[str, str] | None = None,
     ) -> None:
         self._layout = layout
         self._directory = directory
@@ -67,6 +71,7 @@
         self._lag_ms = lag_ms
         self._strict = strict
         self._extra_settings = extra_settings
+        self._published = published or {}
         self._processes: dict[str, subprocess.Popen[bytes]] = {}
         self._started: dict[str, tuple[str, list[str]]] = {}
         self._session: aiohttp.ClientSession | None = None
@@ -112,13 +117,15 @@
         await self._wait_http(f"http://{self._layout.platform_address}/control/counts")
         await self.publish(configuration)
         for group in self._layout.groups:
-            await self._put(f"rows/{polling.GROUP_PREFIX}{group.group}", codec.to_json(group))
+            record = codec.to_json(self._with_published_addresses(group))
+            await self._put(f"rows/{polling.GROUP_PREFIX}{group.group}", record)
         members = [self._listed(vm) for vm in self._layout.vms]
         async with self.session.put(self._platform("control/vms"), json=members) as response:
             response.raise_for_status()
 
     def _listed(self, vm: layout_module.EntryVm) -> dict[str, Any]:
-        listed = codec.to_plain(vm.member)
+        published = self._publish(vm.member.peer_address)
+        listed = codec.to_plain(dataclasses.replace(vm.member, peer_address=published))
         if self._layout.profile.domain_latency_ms:
             listed["relay_address"] = vm.relay_address
         return listed
@@ -229,6 +236,16 @@
         with self.log_path(name).open("ab") as log:
             self._processes[name] = subprocess.Popen(command, stderr=log, stdout=log)
 
+    def _publish(self, address: str) -> str:
+        return self._published.get(address, address)
+
+    def _with_published_addresses(self, group: model.GroupRecord) -> model.GroupRecord:
+        targets = tuple(
+            dataclasses.replace(target, address=self._publish(target.address))
+            for target in group.targets
+        )
+        return dataclasses.replace(group, targets=targets)
+
     def _platform(self, path: str) -> str:
         return f"http://{self._layout.platform_address}/{path}"
 
