--- a/scripts/measure_speed.py
+++ b/scripts/measure_speed.py
@@ -79,11 +79,13 @@
             self.processes[name] = subprocess.Popen([*command, *arguments], stderr=log, stdout=log)
 
 
-def configuration(accounts: int = 1, version: int = 1) -> tuple[model.Configuration, str]:
+def configuration(
+    accounts: int = 1, version: int = 1, rate: float = 1e6
+) -> tuple[model.Configuration, str]:
     """Return a configuration with a number of client accounts, and one key's text."""
     key, text = keys.issue("speed-key", "account-0")
     described = [
-        model.ClientAccount(name=f"account-{number}", weight=1.0, rate=1e6, burst=1e6)
+        model.ClientAccount(name=f"account-{number}", weight=1.0, rate=rate, burst=rate)
         for number in range(accounts)
     ]
     issued = [key, *(keys.issue(f"key-{n}", f"account-{n}")[0] for n in range(1, accounts))]
@@ -140,13 +142,13 @@
     """Run a route once.
 
     Raises:
-        RuntimeError: It was refused.
+        RuntimeError: It was refused for another reason than its rate.
     """
     url = f"http://{address}/v1/routes/{route}"
     headers = {"Authorization": f"Bearer {key}"}
     async with running.session.post(url, json={"parameters": {}}, headers=headers) as response:
         body = await response.read()
-        if response.status != 200:
+        if response.status not in (200, 429):
             raise RuntimeError(body.decode())
 
 
@@ -301,6 +303,12 @@
         pid = running.processes[owner.member.vm].pid
         figures["idle_connections"] = await hold_idle(owner.http_address, pid, (1000,))
         figures["idle_cores_2_vms"] = round(await idle_cpu(running, arguments.seconds), 4)
+    limited, limited_key = configuration(rate=1.0)
+    async with started(PROFILE, limited, log_level=arguments.log_level) as running:
+        owner, _ = split_by_owner(running)
+        figures["refusals"] = await measure_rate(
+            running, owner, "read", limited_key, arguments.seconds
+        )
     if not arguments.short:
         six = dataclasses.replace(PROFILE, vms=6)
         async with started(six, built, log_level=arguments.log_level) as running:
