--- a/src/greengageshunt/membership/view.py
+++ b/src/greengageshunt/membership/view.py
@@ -1,6 +1,7 @@
 """The member view of one entry VM."""
 
 from greengageshunt import application, model
+from greengageshunt import clock as clock_module
 
 # Seconds without an answer after which a peer counts as dead.
 PEER_DEADLINE = 0.75
@@ -9,8 +10,11 @@
 class MemberView:
     """Knows the listed entry VMs and when each peer last answered."""
 
-    def __init__(self, *, me: model.Member) -> None:
+    def __init__(
+        self, *, me: model.Member, clock: clock_module.Clock = clock_module.monotonic
+    ) -> None:
         self._me = me
+        self._clock = clock
         self._members: dict[str, model.Member] = {me.vm: me}
         self._last_answer: dict[str, float] = {}
         self._leaving: set[str] = set()
@@ -42,6 +46,10 @@
         """
         members = {member.vm: member for member in listed}
         members[self._me.vm] = self._me
+        for vm in members:
+            # A member counts as live until it had the time to answer. A starting entry VM
+            # would else take itself for the owner of all targets and use up their connections.
+            self._last_answer.setdefault(vm, self._clock())
         changed = members != self._members
         self._members = members
         return changed
@@ -92,6 +100,6 @@
             failure_domain=settings["vm.failure_domain"],
             peer_address=settings["vm.peer_address"],
         )
-        return MemberView(me=me)
+        return MemberView(me=me, clock=app.clock)
 
     app.add_part("membership", "view", create)
