--- a/tests/test_failover/test_processes.py
+++ b/tests/test_failover/test_processes.py
@@ -29,6 +29,7 @@
         self.acknowledged = []
         self.times = []
         self.targets = []
+        self.refused = []
 
     async def __aenter__(self):
         await self.write("first")
@@ -47,6 +48,8 @@
             self.acknowledged.append(item)
             self.targets.append(reply.document["target"])
             self.times.append(time.monotonic())
+        elif reply.status != 200:
+            self.refused.append(reply.document)
         return reply
 
     async def _write_always(self):
@@ -220,6 +223,8 @@
     """Guards against planned changes that lose writes, refuse them or take as long as failures."""
     fleet, key = await _start(start_fleet)
     first, second, third = (target.name for target in fleet.layout.groups[0].targets)
+    for name in (first, second, third):
+        await fleet.set_target_faults(name, lag=0.1)
     async with _bookings(fleet, key) as bookings:
         await asyncio.sleep(0.3)
         await _change_row(fleet, requested_primary=second)
@@ -232,5 +237,6 @@
         await bookings.wait_acknowledged_by(second)
         assert bookings.targets[-1] == first
         await _wait_stored(fleet, 3)
+    assert not bookings.refused
     assert bookings.gap() <= 2.5
     await _check_nothing_lost(bookings)
