--- a/scripts/measure_failover.py
+++ b/scripts/measure_failover.py
@@ -95,6 +95,8 @@
     async with started.session.post(
         url, json={"parameters": parameters}, headers=headers
     ) as response:
+        if response.content_type != "application/json":
+            return {"code": f"status {response.status}", "outcome": "unknown"}
         return await response.json()
 
 
@@ -194,14 +196,15 @@
     parser.add_argument("--profile", choices=sorted(layout.PROFILES), default="small")
     parser.add_argument("--runs", type=int, default=20, help="kills of the primary")
     parser.add_argument("--seed", type=int, default=1, help="seed of the pauses between kills")
+    parser.add_argument("--logs", type=pathlib.Path, help="directory that keeps logs and data")
     arguments = parser.parse_args()
     profile = layout.PROFILES[arguments.profile]
     configuration, key = build_configuration()
     base_port = fleet.free_base_port(layout.ports_needed(profile))
-    with tempfile.TemporaryDirectory() as directory:
+    with tempfile.TemporaryDirectory() as scratch:
         started = fleet.Fleet(
             layout=layout.build(profile, base_port),
-            directory=pathlib.Path(directory),
+            directory=arguments.logs or pathlib.Path(scratch),
             schema=SCHEMA,
         )
         try:
--- a/src/greengageshunt/failover/rows.py
+++ b/src/greengageshunt/failover/rows.py
@@ -1,7 +1,6 @@
 """Group rows at the platform: intents of promoters and completed promotions."""
 
 import asyncio
-import dataclasses
 import logging
 from typing import Any
 
@@ -43,7 +42,7 @@
             return stored
         if stored.intent and stored.intent.term >= intent.term and stored.intent != intent:
             return stored
-        wanted = codec.to_plain(dataclasses.replace(stored, intent=intent))
+        wanted = codec.to_plain(stored.changed(intent=intent))
         if isinstance(await platform.put_row(row.key, wanted, row.etag), http.Row):
             return None
 
@@ -79,8 +78,7 @@
             stored_term=stored.term,
         )
         return True
-    wanted = dataclasses.replace(
-        stored,
+    wanted = stored.changed(
         term=record.term,
         primary=record.primary,
         history=record.history,
--- a/src/greengageshunt/membership/view.py
+++ b/src/greengageshunt/membership/view.py
@@ -18,6 +18,16 @@
         self._members: dict[str, model.Member] = {me.vm: me}
         self._last_answer: dict[str, float] = {}
         self._leaving: set[str] = set()
+        self._listed = False
+
+    @property
+    def listed(self) -> bool:
+        """Whether a list of entry VMs was read, from the platform or a peer.
+
+        Before that, the own entry VM is the only member known, which says
+        nothing of a majority.
+        """
+        return self._listed
 
     @property
     def me(self) -> model.Member:
@@ -50,7 +60,8 @@
             # A member counts as live until it had the time to answer. A starting entry VM
             # would else take itself for the owner of all targets and use up their connections.
             self._last_answer.setdefault(vm, self._clock())
-        changed = members != self._members
+        changed = members != self._members or not self._listed
+        self._listed = True
         self._members = members
         return changed
 
--- a/src/greengageshunt/programs/proxy.py
+++ b/src/greengageshunt/programs/proxy.py
@@ -19,10 +19,13 @@
     "greengageshunt.peers.server",
     "greengageshunt.peers.links",
     "greengageshunt.membership.confirmation",
+    "greengageshunt.configuration.exchange",
+    "greengageshunt.configuration.status",
     "greengageshunt.groups.spread",
     "greengageshunt.proxy.owner",
     "greengageshunt.proxy.service",
     "greengageshunt.frontends.http",
+    "greengageshunt.metrics.page",
 )
 
 
--- a/tests/test_failover/test_processes.py
+++ b/tests/test_failover/test_processes.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import dataclasses
 import signal
 import time
 
@@ -121,7 +120,7 @@
 
 
 async def _change_row(fleet, **changes):
-    record = dataclasses.replace(await _stored(fleet), **changes)
+    record = (await _stored(fleet)).changed(**changes)
     url = f"http://{fleet.layout.platform_address}/rows/{polling.GROUP_PREFIX}{record.group}"
     async with fleet.session.put(url, data=codec.to_json(record)) as response:
         response.raise_for_status()
