--- a/src/greengageshunt/admission/static_split.py
+++ b/src/greengageshunt/admission/static_split.py
@@ -12,6 +12,11 @@
         self._view = app.part("membership", "view")
         self._buckets: dict[str, bucket.Bucket] = {}
 
+    @property
+    def ready(self) -> bool:
+        """Whether requests can be admitted."""
+        return True
+
     async def admit(
         self, account: model.ClientAccount, deadline: float
     ) -> decision.AdmissionDecision:
--- a/src/greengageshunt/programs/common.py
+++ b/src/greengageshunt/programs/common.py
@@ -12,11 +12,11 @@
 
 # Default name of the part that serves each role.
 _SELECTED_PARTS = {
-    "admission": "static_split",
+    "admission": "leased_shares",
     "driver": "postgresql",
     "platform": "http",
     "routing": "position",
-    "scheduling": "fifo",
+    "scheduling": "fair",
 }
 
 
--- a/src/greengageshunt/proxy/service.py
+++ b/src/greengageshunt/proxy/service.py
@@ -79,9 +79,10 @@
 
     @property
     def ready(self) -> bool:
-        """Whether a configuration and all groups of its routes are known."""
+        """Whether the configuration, its groups and the own shares of rates are in force."""
         routes = self._configuration.current.routes
-        return bool(routes) and all(self._directory.record(route.group) for route in routes)
+        known = bool(routes) and all(self._directory.record(route.group) for route in routes)
+        return known and self._admission.ready
 
     async def handle(self, request: model.CallerRequest) -> Handled:
         """Handle one request from authentication to the new session token."""
--- /dev/null
+++ b/tests/test_admission/test_share_scenarios.py
@@ -0,0 +1,355 @@
+"""Single histories of shares and loans that random ones rarely reach."""
+
+import pytest
+
+from greengageshunt.admission import loan_messages
+from greengageshunt.membership import shares
+from support import share_fleet
+
+RATE = 8.0
+BURST = 16.0
+
+
+def _fleet(vms: int = 4, listed: int | None = None) -> share_fleet.Fleet:
+    fleet = share_fleet.Fleet(vms=vms, rate=RATE, burst=BURST)
+    if listed is not None:
+        fleet.listed = {vm.name for vm in fleet.vms[:listed]}
+    fleet.run(6.0, busy=False)
+    return fleet
+
+
+def _isolate(fleet: share_fleet.Fleet, *names: str, platform: bool = True) -> None:
+    """Cut off VMs from the others, but not from each other."""
+    for vm in fleet.vms:
+        if vm.name not in names:
+            fleet.cut_links |= {frozenset((vm.name, name)) for name in names}
+    if platform:
+        fleet.cut_from_platform |= set(names)
+
+
+def _borrow(fleet: share_fleet.Fleet, borrower: share_fleet.Vm) -> None:
+    for lender in fleet.vms:
+        fleet.ask_loan(borrower, lender, 1.0, fleet.now)
+    for message in list(fleet.in_flight):
+        fleet.deliver(message)
+
+
+def _fraction(fleet: share_fleet.Fleet, vm: share_fleet.Vm) -> float:
+    return share_fleet.probe(vm, fleet.now).fraction
+
+
+def _run_checked(fleet: share_fleet.Fleet, seconds: float) -> None:
+    for _ in range(round(seconds / share_fleet.STEP)):
+        fleet.run(share_fleet.STEP, busy=True)
+        fleet.check()
+
+
+def test_one_vm_borrows_the_whole_account():
+    """Guards against refusals when the balancer puts an account on one VM."""
+    fleet = _fleet()
+    first = fleet.vms[0]
+
+    _borrow(fleet, first)
+
+    assert _fraction(fleet, first) == pytest.approx(1.0)
+    assert fleet.spend(first, 100) == BURST
+    fleet.check()
+
+
+def test_loan_ends_at_the_borrower_first():
+    """Guards against a borrower that counts from the receipt of a late answer."""
+    fleet = _fleet()
+    borrower, lender = fleet.vms[:2]
+    sent_at = fleet.now
+    fleet.ask_loan(borrower, lender, 1.0, sent_at)
+    fleet.advance(0.9)
+    fleet.deliver(fleet.in_flight[0])
+    assert _fraction(fleet, borrower) == pytest.approx(0.5)
+
+    fleet.advance(0.11)
+
+    assert _fraction(fleet, borrower) == pytest.approx(0.25)
+    fleet.check()
+
+
+def test_lost_loan_returns_to_the_lender():
+    """Guards against a share that is gone for good when an answer is lost."""
+    fleet = _fleet()
+    borrower, lender = fleet.vms[:2]
+    fleet.ask_loan(borrower, lender, 1.0, fleet.now)
+    fleet.in_flight.clear()
+    assert _fraction(fleet, lender) == pytest.approx(0.0)
+
+    fleet.advance(1.1)
+
+    assert _fraction(fleet, lender) == pytest.approx(0.25)
+
+
+def test_only_named_loans_are_prolonged():
+    """Guards against one lender's answer that prolongs the loan of another."""
+    fleet = _fleet()
+    borrower, first, second = fleet.vms[:3]
+    _borrow(fleet, borrower)
+    fleet.advance(0.5)
+    fleet.ask_loan(borrower, first, 0.0, fleet.now)
+    fleet.deliver(fleet.in_flight[0])
+
+    fleet.advance(0.7)
+
+    assert _fraction(fleet, borrower) == pytest.approx(0.5)
+    assert _fraction(fleet, first) == pytest.approx(0.0)
+    assert _fraction(fleet, second) == pytest.approx(0.25)
+    fleet.check()
+
+
+def test_tokens_return_with_a_loan():
+    """Guards against a burst that is lost when an account moves to another VM."""
+    fleet = _fleet()
+    borrower = fleet.vms[0]
+    _borrow(fleet, borrower)
+    for _ in range(8):
+        assert borrower.ledger.spend(share_fleet.ACCOUNT, fleet.now)
+
+    fleet.give_back(borrower)
+    fleet.check()
+    for message in list(fleet.in_flight):
+        fleet.deliver(message)
+
+    held = [share_fleet.probe(vm, fleet.now) for vm in fleet.vms]
+    assert [item.tokens for item in held] == pytest.approx([(BURST - 8) / 4] * 4)
+    fleet.check()
+
+
+def test_return_after_the_end_of_a_loan_adds_nothing():
+    """Guards against tokens on top of those with which the lender has refilled."""
+    fleet = _fleet()
+    borrower, lender = fleet.vms[:2]
+    _borrow(fleet, borrower)
+    fleet.give_back(borrower)
+    fleet.advance(1.1)
+    before = share_fleet.probe(lender, fleet.now).tokens
+
+    for message in list(fleet.in_flight):
+        fleet.deliver(message)
+
+    assert share_fleet.probe(lender, fleet.now).tokens == before
+    fleet.check()
+
+
+def test_loan_is_cut_to_a_burst_that_fell_on_its_way():
+    """Guards against tokens of the old burst that arrive after all VMs lowered it."""
+    fleet = _fleet()
+    borrower = fleet.vms[0]
+    for lender in fleet.vms[1:]:
+        fleet.ask_loan(borrower, lender, 1.0, fleet.now)
+    fleet.configurations.append(share_fleet.configuration(2, RATE / 4, BURST / 4))
+    for vm in fleet.vms:
+        fleet.read_platform(vm)
+    fleet.spend(borrower, 100)
+
+    for message in list(fleet.in_flight):
+        fleet.deliver(message)
+    fleet.spend(borrower, 100)
+
+    fleet.check()
+
+
+def test_isolated_vm_stops_before_others_take_its_share():
+    """Guards against two VMs that use the same share after a change of the table."""
+    fleet = _fleet()
+    cut = fleet.vms[3]
+    _isolate(fleet, cut.name)
+    fleet.listed.discard(cut.name)
+
+    _run_checked(fleet, 12.0)
+
+    assert _fraction(fleet, cut) == 0.0
+    assert _fraction(fleet, fleet.vms[0]) == pytest.approx(1 / 3)
+
+
+def test_minority_takes_no_share_of_a_confirmed_majority():
+    """Guards against a VM that alone sees a new table and counts the bound by itself.
+
+    The other three cannot see the table, but they confirm each other.
+    """
+    fleet = _fleet()
+    alone = fleet.vms[0]
+    rest = [vm.name for vm in fleet.vms[1:]]
+    _isolate(fleet, *rest)
+    fleet.listed = {alone.name}
+
+    _run_checked(fleet, 20.0)
+
+    assert _fraction(fleet, alone) <= 0.25
+    assert _fraction(fleet, fleet.vms[1]) == pytest.approx(0.25)
+
+
+def test_all_vms_go_on_while_the_platform_is_down():
+    """Guards against an outage of the platform that stops all admission."""
+    fleet = _fleet()
+    fleet.cut_from_platform = {vm.name for vm in fleet.vms}
+
+    _run_checked(fleet, 20.0)
+
+    assert [_fraction(fleet, vm) for vm in fleet.vms] == pytest.approx([0.25] * 4)
+
+
+def test_loan_ends_before_the_lender_must_stop():
+    """Guards against a loan from a share that others take over while it lasts."""
+    fleet = _fleet(vms=5)
+    lender, borrower = fleet.vms[3:]
+    _isolate(fleet, lender.name, borrower.name)
+    fleet.listed -= {lender.name, borrower.name}
+    fleet.run(4.75, busy=False)
+    _borrow(fleet, borrower)
+
+    for _ in range(12):
+        fleet.run(share_fleet.STEP, busy=False)
+        fleet.check()
+
+    assert _fraction(fleet, fleet.vms[0]) == pytest.approx(1 / 3)
+
+
+def test_smaller_share_is_confirmed_after_its_loans_have_ended():
+    """Guards against a new VM that starts while a loan from the old share lasts."""
+    fleet = _fleet(listed=3)
+    borrower = fleet.vms[0]
+    _borrow(fleet, borrower)
+    fleet.listed.add(fleet.vms[3].name)
+
+    for _ in range(12):
+        fleet.run(share_fleet.STEP, busy=False)
+        fleet.check()
+
+    assert _fraction(fleet, fleet.vms[3]) == pytest.approx(0.25)
+
+
+def test_restart_ends_the_loans_of_the_earlier_process():
+    """Guards against a restarted VM that forgets what it lent."""
+    fleet = _fleet()
+    borrower, lender = fleet.vms[:2]
+    _borrow(fleet, borrower)
+
+    fleet.restart(lender)
+    for _ in range(12):
+        fleet.run(share_fleet.STEP / 5, busy=False)
+        fleet.gossip()
+        fleet.check()
+
+    assert _fraction(fleet, fleet.vms[1]) == pytest.approx(0.25)
+
+
+def test_restarted_vm_starts_with_an_empty_bucket():
+    """Guards against restarts that multiply the burst."""
+    fleet = _fleet()
+
+    for _ in range(5):
+        fleet.restart(fleet.vms[0])
+        for _ in range(4):
+            fleet.gossip()
+        assert _fraction(fleet, fleet.vms[0]) == pytest.approx(0.25)
+        assert fleet.spend(fleet.vms[0], 100) == 0
+
+
+def test_paused_vm_spends_nothing_when_it_wakes():
+    """Guards against a VM that spends after a pause what ended during the pause."""
+    fleet = _fleet()
+    paused = fleet.vms[0]
+    _borrow(fleet, paused)
+    fleet.paused.add(paused.name)
+    fleet.listed.discard(paused.name)
+    fleet.run(8.0, busy=True)
+
+    assert fleet.spend(paused, 100) == 0
+    fleet.check()
+
+
+def test_share_of_a_dead_vm_returns_after_the_bound():
+    """Guards against a rate that shrinks with each VM that dies."""
+    fleet = _fleet()
+    dead = fleet.vms[3]
+    fleet.paused.add(dead.name)
+    _isolate(fleet, dead.name)
+    fleet.listed.discard(dead.name)
+
+    fleet.run(shares.TAKEOVER_BOUND + 1.0, busy=False)
+
+    assert _fraction(fleet, fleet.vms[0]) == pytest.approx(1 / 3)
+
+
+def test_raised_rate_applies_after_all_have_confirmed_it():
+    """Guards against two versions of a rate whose shares add up to more than the higher one."""
+    fleet = _fleet()
+    fleet.configurations.append(share_fleet.configuration(2, 2 * RATE, BURST))
+    first = fleet.vms[0]
+
+    fleet.read_platform(first)
+    assert share_fleet.probe(first, fleet.now).rate == pytest.approx(RATE / 4)
+
+    fleet.run(1.0, busy=True)
+    assert share_fleet.probe(first, fleet.now).rate == pytest.approx(2 * RATE / 4)
+
+
+def test_lowered_rate_applies_at_once():
+    """Guards against a VM that spends a withdrawn rate until all others know of it."""
+    fleet = _fleet()
+    fleet.configurations.append(share_fleet.configuration(2, RATE / 4, BURST / 4))
+    first = fleet.vms[0]
+
+    fleet.read_platform(first)
+
+    held = share_fleet.probe(first, fleet.now)
+    assert held.rate == pytest.approx(RATE / 16)
+    assert held.tokens <= BURST / 16
+
+
+def test_busy_lender_keeps_what_it_needs():
+    """Guards against a lender that refuses its own callers because it lent too much."""
+    fleet = _fleet()
+    lender = fleet.vms[1]
+    for _ in range(2):
+        lender.ledger.count_request(share_fleet.ACCOUNT, fleet.now)
+
+    _borrow(fleet, fleet.vms[0])
+
+    assert _fraction(fleet, lender) == pytest.approx(0.25)
+
+
+def test_holders_of_an_account_are_few():
+    """Guards against shares below one request when there are thousands of VMs."""
+    seats = [shares.Seat(vm=f"vm-{number}", incarnation="1") for number in range(4400)]
+
+    held_by = shares.holders_of("account-1", seats, 16)
+
+    assert len(held_by) == 16
+    assert held_by != shares.holders_of("account-2", seats, 16)
+
+
+def test_vm_without_a_share_borrows():
+    """Guards against a VM that serves callers of an account and holds no share of it."""
+    fleet = share_fleet.Fleet(vms=4, rate=RATE, burst=BURST, holders=2)
+    fleet.run(6.0, busy=False)
+    without = next(vm for vm in fleet.vms if _fraction(fleet, vm) == 0.0)
+
+    _borrow(fleet, without)
+
+    assert _fraction(fleet, without) == pytest.approx(1.0)
+    fleet.check()
+
+
+def test_loan_of_an_ended_process_is_not_taken():
+    """Guards against a late answer of a process that lost its seat."""
+    fleet = _fleet()
+    borrower, lender = fleet.vms[:2]
+    loan = loan_messages.Loan(
+        lender=shares.Seat(vm=lender.name, incarnation="earlier"),
+        account=share_fleet.ACCOUNT,
+        loan_id="earlier-1",
+        fraction=0.25,
+        tokens=4.0,
+        seconds=1.0,
+        prolonged=(),
+    )
+
+    assert not borrower.ledger.borrow(loan, fleet.now, fleet.now)
+    assert _fraction(fleet, borrower) == pytest.approx(0.25)
