--- a/src/greengageshunt/admission/ledger.py
+++ b/src/greengageshunt/admission/ledger.py
@@ -182,7 +182,7 @@
         if returns or self._bases != self._view.bases:
             self._bases = self._view.bases
             self._set_shares(now, confirmed=self._own_until > now)
-        if self._view.report != self._view.newest and not self._overcommitted(now):
+        if not self._view.confirmed_newest and not self._overcommitted(now):
             self._view.confirm()
 
     def count_request(self, account: str, now: float) -> None:
--- a/src/greengageshunt/membership/shares.py
+++ b/src/greengageshunt/membership/shares.py
@@ -51,11 +51,21 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Report:
-    """What a VM tells its peers: the epoch and version that all its shares obey."""
+    """What a VM tells its peers: the epoch and version that all its shares obey.
+
+    Attributes:
+        incarnation: The process that reports.
+        epoch: Epoch of the table.
+        version: Version of the configuration.
+        caught_up: Whether the process read both from the platform since its
+            start. Before that, it may lag behind what an earlier process of the
+            same VM confirmed, and must not confirm others.
+    """
 
     incarnation: str
     epoch: int
     version: int
+    caught_up: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -158,6 +168,15 @@
         """The own process."""
         return self._me
 
+    @property
+    def confirmed_newest(self) -> bool:
+        """Whether peers are told of the newest known epoch and version."""
+        return self._applied == self.newest
+
+    @property
+    def _caught_up(self) -> bool:
+        return min(self._row_read_at, self._configuration_read_at) > -math.inf
+
     @property
     def table(self) -> ShareTable | None:
         """Newest known table."""
@@ -166,7 +185,7 @@
     @property
     def report(self) -> Report:
         """What peers are told."""
-        return self._applied
+        return dataclasses.replace(self._applied, caught_up=self._caught_up)
 
     @property
     def bases(self) -> tuple[Basis, ...]:
@@ -232,7 +251,9 @@
         self._reports[vm] = report
         newest = self.newest
         contradicts = report.epoch > newest.epoch or report.version > newest.version
-        if not contradicts and Seat(vm=vm, incarnation=report.incarnation) in self._seats():
+        if contradicts or not report.caught_up:
+            return
+        if Seat(vm=vm, incarnation=report.incarnation) in self._seats():
             self._confirmations[vm] = max(sent_at, self._confirmations.get(vm, -math.inf))
 
     def confirm(self) -> None:
@@ -243,7 +264,7 @@
         """Return the time at which nothing newer was in force."""
         platform_at = min(self._row_read_at, self._configuration_read_at)
         seats = self._seats()
-        if self._me not in seats:
+        if self._me not in seats or not self._caught_up:
             return platform_at
         peers = [seat.vm for seat in seats if seat != self._me]
         answers = [self._confirmations[vm] for vm in peers if vm in self._confirmations]
--- a/src/greengageshunt/membership/shares_table.py
+++ b/src/greengageshunt/membership/shares_table.py
@@ -98,6 +98,8 @@
 
     def _wanted(self) -> shares.ShareTable | None:
         """Return the table that this VM should write now, or None."""
+        if not self._members.listed:
+            return None
         table = self._shares.table
         now = self._app.clock()
         members = [member for member in self._members.members if not member.leaving]
--- a/src/greengageshunt/model.py
+++ b/src/greengageshunt/model.py
@@ -3,7 +3,9 @@
 import dataclasses
 import enum
 import functools
+import math
 from collections import abc
+from typing import Any
 
 # A value of a statement parameter or of an answer's column.
 Value = str | int | float | bool | None
@@ -68,6 +70,19 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Intent:
+    """Announcement of a promotion that a failover daemon is about to try.
+
+    Attributes:
+        term: Term that it will ask the targets to accept.
+        promoter: Name of the failover daemon.
+    """
+
+    term: int
+    promoter: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class GroupRecord:
     """One database: its targets, its term and its primary.
@@ -79,6 +94,9 @@
         targets: All targets.
         history: Start of each term, in rising order.
         draining: Names of targets that get no new work.
+        intent: Promotion that was announced last and is not complete, or None.
+        requested_primary: Target that an operator wants as primary, or an empty string.
+        revision: Number that rises with each change within the term.
     """
 
     group: str
@@ -87,6 +105,22 @@
     targets: tuple[Target, ...]
     history: tuple[TermStart, ...]
     draining: tuple[str, ...] = ()
+    intent: Intent | None = None
+    requested_primary: str = ""
+    revision: int = 0
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Term and revision; of two records of a group, the higher one is newer."""
+        return (self.term, self.revision)
+
+    def changed(self, **fields: Any) -> "GroupRecord":
+        """Return the next revision of the record, with other fields.
+
+        Each write of a group row goes through this, so that a reader recognises
+        a stale copy of the row.
+        """
+        return dataclasses.replace(self, revision=self.revision + 1, **fields)
 
     def target(self, name: str) -> Target | None:
         """Return the target of this name, or None."""
@@ -110,6 +144,9 @@
         offset: Last offset of its log.
         history: Start of each term in its log, in rising order.
         observed_at: Monotonic seconds at which the status query was sent.
+        upstream: Replication address that the target copies from in its term, or an
+            empty string.
+        upstream_age: Seconds since it last heard from there; infinite if it never did.
     """
 
     target: str
@@ -119,6 +156,19 @@
     offset: int
     history: tuple[TermStart, ...]
     observed_at: float
+    upstream: str = ""
+    upstream_age: float = math.inf
+
+    @property
+    def open(self) -> bool:
+        """Whether the target is the promoted primary of the term that it accepted.
+
+        A promotion writes the first log entry of its term, so a primary that a
+        higher term has fenced lacks the start of that term.
+        """
+        return (
+            self.role is Role.PRIMARY and bool(self.history) and self.history[-1].term == self.term
+        )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -225,12 +275,15 @@
         failure_domain: Failure domain that holds the entry VM.
         peer_address: ``host:port`` of its peer server.
         leaving: Whether the entry VM takes no new work.
+        http_address: ``host:port`` on which it serves callers and its status, or
+            an empty string if the platform's list does not tell.
     """
 
     vm: str
     failure_domain: str
     peer_address: str
     leaving: bool = False
+    http_address: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/greengageshunt/programs/proxy.py
+++ b/src/greengageshunt/programs/proxy.py
@@ -12,6 +12,7 @@
     "greengageshunt.platforms.polling",
     "greengageshunt.groups.monitor",
     "greengageshunt.failover.grants",
+    "greengageshunt.failover.supersession",
     "greengageshunt.scheduling.fair",
     "greengageshunt.scheduling.fifo",
     "greengageshunt.routing.position",
@@ -22,9 +23,13 @@
     "greengageshunt.admission.static_split",
     "greengageshunt.admission.central_bucket",
     "greengageshunt.admission.leased_shares",
+    "greengageshunt.configuration.exchange",
+    "greengageshunt.configuration.status",
+    "greengageshunt.groups.spread",
     "greengageshunt.proxy.owner",
     "greengageshunt.proxy.service",
     "greengageshunt.frontends.http",
+    "greengageshunt.metrics.page",
 )
 
 
--- a/src/greengageshunt/proxy/service.py
+++ b/src/greengageshunt/proxy/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import uuid
 from typing import Any, TypeVar
 
@@ -12,6 +13,7 @@
 from greengageshunt.configuration import keys
 from greengageshunt.membership import ownership
 from greengageshunt.peers import messages
+from greengageshunt.proxy import reports
 from greengageshunt.routing import decision
 from greengageshunt.sessions import token
 
@@ -21,7 +23,16 @@
 
 # Refusals of requests that did not run, after which another try may reach the
 # new primary, the new owner or another replica.
-_TRY_AGAIN = frozenset({"term_changed", "no_grant", "owner_unreachable", "target_lost"})
+_TRY_AGAIN = frozenset(
+    {
+        "check_expired",
+        "no_grant",
+        "owner_unreachable",
+        "target_draining",
+        "target_lost",
+        "term_changed",
+    }
+)
 
 # A target counts as live if it was checked within this many seconds.
 LIVE_DEADLINE = 1.0
@@ -63,6 +74,7 @@
         self._directory = app.part("groups", "directory")
         self._view = app.part("membership", "view")
         self._links = app.part("peers", "links")
+        self._confirmation = app.part("membership", "confirmation")
         self._owner = app.part("proxy", "owner")
         self._admission = app.selected("admission")
         self._choose = app.selected("routing")
@@ -88,11 +100,17 @@
         """Handle one request from authentication to the new session token."""
         self._in_progress += 1
         self._idle.clear()
+        started_at = self._app.clock()
+        code = "internal_error"
         try:
-            return await self._handle(request)
+            handled = await self._handle(request)
+            code = "ok"
+            return handled
         except errors.RefusedError as error:
+            code = error.refusal.code
             return result.Failure(error.refusal)
         finally:
+            self._report(request, code, started_at)
             self._in_progress -= 1
             if not self._in_progress:
                 self._idle.set()
@@ -105,6 +123,15 @@
         """Do nothing until cancelled; requests arrive through front ends."""
         await asyncio.Event().wait()
 
+    def _report(self, request: model.CallerRequest, code: str, started_at: float) -> None:
+        route = self._configuration.current.routes_by_name.get(request.route)
+        report = reports.RequestReport(
+            kind=route.kind.value if route else "unknown",
+            code=code,
+            seconds=self._app.clock() - started_at,
+        )
+        self._app.events.emit("request-handled", report)
+
     async def _handle(self, request: model.CallerRequest) -> Handled:
         configuration = self._configuration.current
         route = configuration.routes_by_name.get(request.route)
@@ -113,7 +140,7 @@
         if not request.request_id:
             # Own ids let the proxy look up the outcome of a write whose answer was lost.
             request = dataclasses.replace(request, request_id=uuid.uuid4().hex)
-        account = _unwrap(keys.authenticate(configuration, route, request.key))
+        account = self._authenticate(request, route, self._app.clock())
         session = _unwrap(token.decode(request.token, account, configuration.token_secret))
         await self._admit(configuration, account, request)
         answer = await self._execute(request, route, account, session)
@@ -121,6 +148,24 @@
         text = token.encode(session, configuration.token_secret)
         return result.Success(model.CallerAnswer(answer=answer, token=text))
 
+    def _authenticate(self, request: model.CallerRequest, route: model.Route, now: float) -> str:
+        """Return the client account of a request under the configuration in force.
+
+        Raises:
+            RefusedError: The key is not valid, or this entry VM cannot tell
+                because it may have missed a newer configuration.
+        """
+        account = _unwrap(keys.authenticate(self._configuration.current, route, request.key))
+        if account and now >= self._confirmation.valid_until(now):
+            raise refusal(
+                "not_confirmed",
+                "neither the platform nor a majority of the entry VMs has confirmed the"
+                " configuration lately; only open routes without a key are served",
+                "authenticate",
+                peer=self._view.me.vm,
+            )
+        return account
+
     async def _admit(
         self, configuration: model.Configuration, account: str, request: model.CallerRequest
     ) -> None:
@@ -132,11 +177,13 @@
         logs.log_decision(
             logger,
             "admit",
+            level=logging.DEBUG if admitted.admitted else logging.INFO,
             request_id=request.request_id,
             account=account,
             admitted=admitted.admitted,
             reason=admitted.reason,
         )
+        self._app.events.emit("admission-decided", admitted)
         if not admitted.admitted:
             raise errors.RefusedError(
                 errors.Refusal(
@@ -182,6 +229,9 @@
         session: token.Session,
         now: float,
     ) -> model.Answer:
+        # The request may have been held since the first check.
+        if self._authenticate(request, route, now) != account:
+            raise refusal("key_unknown", "the key has another client account now", "authenticate")
         record = self._directory.record(route.group)
         if record is None:
             raise refusal("group_unknown", f"no group {route.group!r}", "route")
@@ -203,6 +253,7 @@
             position=position.offset if position else 0,
             reason=chosen.reason,
         )
+        self._app.events.emit("route-chosen", chosen)
         message = self._message(request, route, account, chosen, now)
         executed = await self._send(owner, message, now)
         self._check(executed, message, now)
@@ -218,13 +269,14 @@
     ) -> decision.RoutingInput:
         names = [target.name for target in record.targets]
         statuses = [status for name in names if (status := self._directory.status(name))]
+        own_waits = self._owner.waits()
         return decision.RoutingInput(
             route=route,
             record=record,
             statuses=tuple(statuses),
             position=session.positions.get(record.group),
             lags={name: self._directory.lag(name, now) for name in names},
-            waits={**self._waits, **self._owner.waits()},
+            waits={name: own_waits.get(name, self._waits.get(name, 0.0)) for name in names},
             live_targets=frozenset(
                 status.target for status in statuses if now - status.observed_at <= LIVE_DEADLINE
             ),
@@ -255,6 +307,7 @@
             weight=known.weight if known else 1.0,
             priority=route.priority,
             timeout=request.deadline - now,
+            valid_for=self._confirmation.valid_until(now) - now if account else math.inf,
             transaction=request.transaction,
             trace=request.request_id,
         )
@@ -302,5 +355,7 @@
 
 def setup(app: application.Application) -> None:
     """Register the request path."""
+    for name in ("request-handled", "admission-decided", "route-chosen"):
+        app.add_event(name)
     app.add_part("proxy", "service", lambda app: ProxyService(app=app))
     app.add_part("service", "proxy", lambda app: app.part("proxy", "service"))
--- a/src/greengageshunt/standins/platform.py
+++ b/src/greengageshunt/standins/platform.py
@@ -5,7 +5,11 @@
 * ``down``: answer each request with 503.
 * ``delay``: seconds to wait before each answer.
 * ``drop_answers``: number of next writes that take effect without an answer.
+* ``drop_prefix``: beginning of the paths to which ``drop_answers`` applies.
 * ``cut_vms``: names of entry VMs whose requests get no answer.
+
+``PUT /control/vms`` sets the list of entry VMs; with ``?vm=NAME``, only what
+that entry VM gets, as a list that lags or a relay between peers needs it.
 """
 
 import asyncio
@@ -24,6 +28,7 @@
     down: bool = False
     delay: float = 0.0
     drop_answers: int = 0
+    drop_prefix: str = "/"
     cut_vms: tuple[str, ...] = ()
 
 
@@ -35,6 +40,22 @@
     version: int
 
 
+def vms_seen_by(viewer: str, vms: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    """Return the list of entry VMs as one of them gets it.
+
+    An entry with a ``relay_address`` shows it as its peer address to VMs of other
+    failure domains, so that a relay can add the latency between the domains.
+    """
+    domains = {entry["vm"]: entry["failure_domain"] for entry in vms}
+    seen = []
+    for entry in vms:
+        shown = {key: value for key, value in entry.items() if key != "relay_address"}
+        if "relay_address" in entry and domains.get(viewer) != entry["failure_domain"]:
+            shown["peer_address"] = entry["relay_address"]
+        seen.append(shown)
+    return seen
+
+
 class PlatformStandin:
     """Keeps rows, objects and the list of entry VMs in memory."""
 
@@ -42,6 +63,7 @@
         self._rows: dict[str, StoredRow] = {}
         self._objects: dict[str, bytes] = {}
         self._vms: list[dict[str, Any]] = []
+        self._vms_for: dict[str, list[dict[str, Any]]] = {}
         self._faults = Faults()
         self._reads = 0
         self._writes = 0
@@ -72,7 +94,8 @@
         if self._faults.down:
             return web.Response(status=503)
         response = await handler(request)
-        if request.method == "PUT" and self._faults.drop_answers > 0:
+        dropped = request.method == "PUT" and request.path.startswith(self._faults.drop_prefix)
+        if dropped and self._faults.drop_answers > 0:
             remaining = self._faults.drop_answers - 1
             self._faults = dataclasses.replace(self._faults, drop_answers=remaining)
             request.transport.abort()
@@ -124,10 +147,16 @@
 
     async def _get_vms(self, request: web.Request) -> web.Response:
         self._reads += 1
-        return web.json_response(self._vms)
+        viewer = request.headers.get("Vm", "")
+        listed = self._vms_for.get(viewer, self._vms)
+        return web.json_response(vms_seen_by(viewer, listed))
 
     async def _set_vms(self, request: web.Request) -> web.Response:
-        self._vms = await request.json()
+        listed = await request.json()
+        if "vm" in request.query:
+            self._vms_for[request.query["vm"]] = listed
+        else:
+            self._vms = listed
         return web.Response(status=200)
 
     async def _set_faults(self, request: web.Request) -> web.Response:
--- a/tests/test_admission/test_share_scenarios.py
+++ b/tests/test_admission/test_share_scenarios.py
@@ -303,6 +303,35 @@
     assert held.tokens <= BURST / 16
 
 
+def test_restarted_vms_do_not_confirm_an_old_version():
+    """Guards against a withdrawn rate that restarted VMs keep alive.
+
+    The last VM missed a version. Two others, which had confirmed that version,
+    restart and have only heard of the older one.
+    """
+    fleet = _fleet()
+    first, *restarted, last = fleet.vms
+    _isolate(fleet, last.name)
+    fleet.configurations.append(share_fleet.configuration(2, RATE / 4, BURST / 4))
+    fleet.run(6.5, busy=False)
+    late = fleet.vms[1:]
+    fleet.cut_links = {frozenset((first.name, vm.name)) for vm in late}
+    fleet.cut_from_platform = {vm.name for vm in late}
+    for vm in restarted:
+        fleet.restart(vm)
+    fleet.change_table(first)
+    for vm in fleet.vms[1:]:
+        vm.view.adopt_table(fleet.table)
+        vm.adopt(fleet.configurations[0], fleet.now)
+    for vm in fleet.vms[1:3]:
+        vm.view.note_row_read(fleet.now)
+
+    fleet.run(8.0, busy=False)
+
+    assert all(vm.version == 1 for vm in fleet.vms[1:])
+    assert [_fraction(fleet, vm) for vm in fleet.vms[1:]] == [0.0, 0.0, 0.0]
+
+
 def test_busy_lender_keeps_what_it_needs():
     """Guards against a lender that refuses its own callers because it lent too much."""
     fleet = _fleet()
