--- a/src/greengageshunt/programs/proxy.py
+++ b/src/greengageshunt/programs/proxy.py
@@ -15,6 +15,7 @@
     "greengageshunt.failover.supersession",
     "greengageshunt.scheduling.fair",
     "greengageshunt.scheduling.fifo",
+    "greengageshunt.scheduling.fair",
     "greengageshunt.routing.position",
     "greengageshunt.peers.server",
     "greengageshunt.peers.links",
