Report by how much the load tool itself sends late

Cause: in a run with saturated targets even refusals took 1 to 4 s, so the tool or the shared machine was late, and no figure showed which. Conclusion: the table has the tool's own delay; a run in which it is large measures the tool.

--- a/src/greengageshunt/load/measures.py
+++ b/src/greengageshunt/load/measures.py
@@ -94,6 +94,7 @@
         read_latency: Median and 99th percentile of reads with an answer, in seconds.
         write_latency: Median and 99th percentile of acknowledged writes, in seconds.
         own_writes_missing: Reads that lacked own writes.
+        sent_late: Median and 99th percentile of the tool's own delay, in seconds.
     """
 
     requests: int
@@ -107,6 +108,7 @@
     read_latency: tuple[float, float]
     write_latency: tuple[float, float]
     own_writes_missing: int
+    sent_late: tuple[float, float]
 
     @property
     def worst(self) -> AccountService:
@@ -366,4 +368,5 @@
         read_latency=_percentiles([sample.latency for sample in reads]),
         write_latency=_percentiles([sample.latency for sample in writes]),
         own_writes_missing=sum(sample.own_writes_missing for sample in trace.samples),
+        sent_late=_percentiles([sample.sent_late for sample in trace.samples]),
     )
--- a/src/greengageshunt/load/report.py
+++ b/src/greengageshunt/load/report.py
@@ -57,6 +57,7 @@
         ("above rate * time + burst", f"{measured.overshoot:.1f} requests"),
         ("reads, median / p99 ms", _milliseconds(measured.read_latency)),
         ("writes, median / p99 ms", _milliseconds(measured.write_latency)),
+        ("sent late by the tool, ms", _milliseconds(measured.sent_late)),
         ("refusals by code", _codes(measured.codes)),
         ("reads without own writes", str(measured.own_writes_missing)),
         ("lost / duplicate / run though refused", _audit(trace.header.audit)),
--- a/src/greengageshunt/load/sender.py
+++ b/src/greengageshunt/load/sender.py
@@ -116,6 +116,8 @@
         key = (arrival.account, arrival.session)
         await asyncio.sleep(self._one_way)
         sent = self._sessions.get(key, Session())
+        due = started_at + arrival.at + self._one_way
+        sent_late = max(0.0, asyncio.get_running_loop().time() - due)
         reply = await self._call_any(arrival, sent.token)
         await asyncio.sleep(self._one_way)
         latency = asyncio.get_running_loop().time() - started_at - arrival.at
@@ -131,6 +133,7 @@
             outcome=reply.outcome,
             target=reply.target,
             own_writes_missing=missing,
+            sent_late=sent_late,
         )
 
     async def _call_any(self, arrival: arrivals_module.Arrival, token: str) -> Reply:
--- a/src/greengageshunt/load/traces.py
+++ b/src/greengageshunt/load/traces.py
@@ -23,6 +23,7 @@
         outcome: ``committed``, ``not_run`` or ``unknown``; reads that succeed are committed.
         target: Target that answered, or an empty string.
         own_writes_missing: Whether a read lacked acknowledged writes of its session.
+        sent_late: Seconds by which the tool itself sent the request late.
     """
 
     arrival: arrivals.Arrival
@@ -31,6 +32,7 @@
     outcome: str
     target: str = ""
     own_writes_missing: bool = False
+    sent_late: float = 0.0
 
     @property
     def answered_at(self) -> float:
