--- a/src/greengageshunt/failover/supersession.py
+++ b/src/greengageshunt/failover/supersession.py
@@ -1,7 +1,7 @@
-"""End of work at a primary whose term has been superseded.
+"""End of work at a primary whose term has been superseded, or whose owner has changed.
 
 A request that waits for a connection or an answer of a failed primary would
-wait until its deadline, although the new primary could serve it.
+wait until its deadline, although the new primary or owner could serve it.
 """
 
 import asyncio
@@ -15,12 +15,12 @@
 Run = abc.Callable[[Job[_T]], abc.Awaitable[_T]]
 
 
-def superseded(target: str, term: int, *, sent: bool) -> errors.RefusedError:
-    """Return the error of a request whose term ended before its answer came."""
+def ended(code: str, target: str, *, sent: bool) -> errors.RefusedError:
+    """Return the error of a request that was given up before its answer came."""
     return errors.RefusedError(
         errors.Refusal(
-            code="term_changed",
-            message=f"term {term} ended before the answer of its primary",
+            code=code,
+            message=f"the work at primary {target!r} ended before its answer",
             outcome=errors.Outcome.UNKNOWN if sent else errors.Outcome.NOT_RUN,
             step="owner",
             peer=target,
@@ -29,10 +29,10 @@
 
 
 class TermWork:
-    """Tasks that wait for the primary of a group, by group and term."""
+    """Tasks that wait for a primary, with the record by which they were sent there."""
 
     def __init__(self, *, app: application.Application) -> None:
-        self._tasks: dict[tuple[str, int], set[asyncio.Task[Any]]] = {}
+        self._tasks: dict[asyncio.Task[Any], model.GroupRecord] = {}
         app.events.connect("group-changed", self._end_older)
 
     async def run(self, record: model.GroupRecord, run: Run[_T], job: Job[_T]) -> _T:
@@ -44,7 +44,8 @@
             job: Coroutine function that takes the connection.
 
         Raises:
-            RefusedError: A later term began; ``not_run`` if the job had not started.
+            RefusedError: A later term began or the own VM no longer owns the target;
+                ``not_run`` if the job had not started.
         """
         sent = False
 
@@ -54,25 +55,28 @@
             return await job(connection)
 
         task = asyncio.ensure_future(run(send))
-        tasks = self._tasks.setdefault((record.group, record.term), set())
-        tasks.add(task)
+        self._tasks[task] = record
         try:
             return await task
-        except asyncio.CancelledError:
+        except asyncio.CancelledError as error:
             current = asyncio.current_task()
             if current is not None and current.cancelling():
                 raise
-            raise superseded(record.primary, record.term, sent=sent) from None
+            code = str(error.args[0]) if error.args else "target_lost"
+            raise ended(code, record.primary, sent=sent) from None
         finally:
-            tasks.discard(task)
-            if not tasks:
-                self._tasks.pop((record.group, record.term), None)
-
-    def _end_older(self, record: model.GroupRecord) -> None:
-        for (group, term), tasks in list(self._tasks.items()):
-            if group == record.group and term < record.term:
-                for task in tasks:
-                    task.cancel()
+            self._tasks.pop(task, None)
+
+    def end_target(self, target: str) -> None:
+        """End the work at a target that this entry VM no longer owns."""
+        for task, record in list(self._tasks.items()):
+            if record.primary == target:
+                task.cancel("owner_changed")
+
+    def _end_older(self, newer: model.GroupRecord) -> None:
+        for task, record in list(self._tasks.items()):
+            if record.group == newer.group and record.term < newer.term:
+                task.cancel("term_changed")
 
 
 def setup(app: application.Application) -> None:
--- a/src/greengageshunt/proxy/owner.py
+++ b/src/greengageshunt/proxy/owner.py
@@ -168,9 +168,10 @@
         received_at: float,
     ) -> messages.Executed:
         committed_at = self._app.clock()
-        replicated = await self._watches[message.target].wait(
-            answer.position.offset, REPLICATION_WAIT
-        )
+        watch = self._watches.get(message.target)
+        if watch is None:
+            raise unknown("owner_changed", "the target has another owner now", message.target)
+        replicated = await watch.wait(answer.position.offset, REPLICATION_WAIT)
         answer = dataclasses.replace(answer, replicated=replicated)
         if not replicated and not self._grants.primary_checked_since(message.target, committed_at):
             # A primary that failed before a second target had the commit takes it along.
@@ -221,6 +222,7 @@
             self._close(name)
 
     def _close(self, name: str) -> None:
+        self._term_work.end_target(name)
         self._pools.pop(name).close()
         self._watches.pop(name).close()
 
--- a/src/greengageshunt/proxy/service.py
+++ b/src/greengageshunt/proxy/service.py
@@ -27,6 +27,7 @@
     {
         "check_expired",
         "no_grant",
+        "owner_changed",
         "owner_unreachable",
         "target_draining",
         "target_lost",
--- a/src/greengageshunt/routing/position.py
+++ b/src/greengageshunt/routing/position.py
@@ -16,6 +16,26 @@
     return result.Success(decision.RoutingDecision(target=record.primary, term=term, reason=reason))
 
 
+def _read_from_primary(
+    inputs: decision.RoutingInput, reason: str
+) -> result.Result[decision.RoutingDecision, errors.Refusal]:
+    """Choose the primary, unless the session has seen a later term than this entry VM.
+
+    The primary that this entry VM knows then lacks what the session has written.
+    """
+    if inputs.position is None or inputs.position.term <= inputs.record.term:
+        return _to_primary(inputs, reason)
+    return result.Failure(
+        errors.Refusal(
+            code="term_changed",
+            message=f"the primary of term {inputs.position.term} is not known here yet",
+            outcome=errors.Outcome.NOT_RUN,
+            step="route",
+            peer=inputs.record.group,
+        )
+    )
+
+
 def _lost(
     inputs: decision.RoutingInput,
 ) -> result.Result[decision.RoutingDecision, errors.Refusal]:
@@ -64,10 +84,11 @@
     if inputs.route.kind is model.RouteKind.WRITE:
         return _to_primary(inputs, "write")
     if inputs.route.staleness <= 0:
-        return _to_primary(inputs, "route allows no staleness")
+        return _read_from_primary(inputs, "route allows no staleness")
     candidates = eligible_replicas(inputs)
     if not candidates:
-        return _to_primary(inputs, "no replica is fresh enough and has the session's position")
+        reason = "no replica is fresh enough and has the session's position"
+        return _read_from_primary(inputs, reason)
     best = min(candidates, key=lambda status: inputs.waits.get(status.target, 0.0))
     return result.Success(
         decision.RoutingDecision(target=best.target, term=0, reason="replica is fresh enough")
--- a/tests/test_routing/test_position.py
+++ b/tests/test_routing/test_position.py
@@ -89,3 +89,10 @@
     """Guards against calling a transaction lost that the new primary has."""
     assert not history.is_lost(model.Position(term=1, offset=100), HISTORY)
     assert history.contains(_status("b", 101), model.Position(term=1, offset=100))
+
+
+def test_primary_of_an_ended_term_does_not_serve_a_session_of_a_later_one():
+    """Guards against a session that moves to an entry VM which missed a change of primary."""
+    seen = model.Position(term=3, offset=150)
+    chosen = position.choose(_inputs(_status("b", 120), seen=seen), 0.0)
+    assert chosen.failure().code == "term_changed"
