--- a/src/greengageshunt/admission/ledger.py
+++ b/src/greengageshunt/admission/ledger.py
@@ -31,9 +31,9 @@
 # by chance.
 FAST_REQUESTS = 3.0
 
-# A rate for which a gap as long as the present one has a probability of 2%, times
+# A rate for which a gap as long as the present one has a probability of 5%, times
 # the gap.
-GAP_REQUESTS = 4.0
+GAP_REQUESTS = 3.0
 
 # Requests a second below which a lender counts as idle.
 IDLE_DEMAND = 0.1
