--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -3,56 +3,54 @@
 import argparse
 import asyncio
 import collections
+import json
 import pathlib
+import sys
 import tempfile
 import time
+from typing import Any
 
 import aiohttp
 
-from greengageshunt import model
-from greengageshunt.configuration import keys
 from greengageshunt.standins import fleet, layout
 
-GROUP = "order-desk-1"
-REQUESTS = 40  # rounds of one write and two reads
+SHEET = pathlib.Path(__file__).parent.parent / "examples" / "ppgm-sheet.csv"
+ACCOUNT = "bintang-glue"
+REQUESTS = 40  # rounds of one booking, one member update and three reads
+ROUTES = (
+    "booking.place",
+    "booking.count",
+    "catalogue.browse",
+    "member.update",
+    "member.show",
+)
 SCHEMA = """CREATE TABLE IF NOT EXISTS bookings (
     id INTEGER PRIMARY KEY, item TEXT NOT NULL, account TEXT NOT NULL
 );
+CREATE TABLE IF NOT EXISTS pots (id INTEGER PRIMARY KEY, name TEXT NOT NULL, stock INTEGER);
+INSERT OR IGNORE INTO pots VALUES (1, 'double-walled pot', 12);
+CREATE TABLE IF NOT EXISTS members (account TEXT PRIMARY KEY, address TEXT NOT NULL);
 """
 
 
-def build_configuration() -> tuple[model.Configuration, str]:
-    """Return a configuration with one client account, and the text of its key."""
-    key, text = keys.issue("demo-key", "workshop")
-    routes = (
-        model.Route(
-            name="booking.place",
-            group=GROUP,
-            kind=model.RouteKind.WRITE,
-            statement=(
-                "INSERT INTO bookings (item, account) VALUES (%(item)s, %(account)s) RETURNING id"
-            ),
-            priority=model.Priority.BOOKING,
-        ),
-        model.Route(
-            name="booking.count",
-            group=GROUP,
-            kind=model.RouteKind.READ,
-            statement="SELECT count(*) FROM bookings WHERE account = %(account)s",
-        ),
-        model.Route(
-            name="booking.browse",
-            group=GROUP,
-            kind=model.RouteKind.READ,
-            statement="SELECT count(*) FROM bookings WHERE account = %(account)s",
-            staleness=5.0,
-        ),
-    )
-    account = model.ClientAccount(name="workshop", weight=1.0, rate=500.0, burst=500.0)
-    configuration = model.Configuration(
-        version=1, accounts=(account,), keys=(key,), routes=routes, token_secret="5e" * 32
-    )
-    return configuration, text
+async def operate(started: fleet.Fleet, *words: str) -> dict[str, Any]:
+    """Run greengageshuntctl and return its JSON document."""
+    shown = (word.removeprefix(f"{SHEET.parents[1]}/") for word in words)
+    print(f"$ greengageshuntctl {' '.join(shown)}")
+    command = [sys.executable, "-m", "greengageshunt.programs.ctl", "--json"]
+    command += ["--platform", started.layout.platform_address, *words]
+    process = await asyncio.create_subprocess_exec(*command, stdout=asyncio.subprocess.PIPE)
+    output, _ = await process.communicate()
+    if process.returncode:
+        raise SystemExit(output.decode())
+    return json.loads(output)
+
+
+def check(route: str, rows: list[Any], number: int) -> None:
+    """Check that a read sees all earlier writes of its session."""
+    expected = {"booking.count": [[number + 1]], "member.show": [[f"Lot {number}"]]}
+    if route in expected and rows != expected[route]:
+        raise SystemExit(f"{route}: read {rows}, expected {expected[route]}")
 
 
 async def run_workload(started: fleet.Fleet, key: str) -> dict[tuple[str, str], list[float]]:
@@ -60,22 +58,20 @@
     latencies: dict[tuple[str, str], list[float]] = collections.defaultdict(list)
     session_token = ""
     addresses = [vm.http_address for vm in started.layout.vms]
-    for number in range(REQUESTS * 3):
-        route = ("booking.place", "booking.count", "booking.browse")[number % 3]
+    for number in range(REQUESTS * len(ROUTES)):
+        turn, place = divmod(number, len(ROUTES))
+        route = ROUTES[place]
         url = f"http://{addresses[number % len(addresses)]}/v1/routes/{route}"
         headers = {"Authorization": f"Bearer {key}", "Session-Token": session_token}
-        body = {"parameters": {"item": f"pot {number}"}}
+        body = {"parameters": {"item": f"pot {turn}", "address": f"Lot {turn}"}}
         began = time.perf_counter()
         async with started.session.post(url, json=body, headers=headers) as response:
             document = await response.json()
             session_token = response.headers.get("Session-Token", session_token)
         elapsed = time.perf_counter() - began
-        place = document.get("target") or document["code"]
-        latencies[(route, place)].append(elapsed)
-        if route != "booking.place" and response.status == 200:
-            expected = number // 3 + 1
-            if document["rows"] != [[expected]]:
-                raise SystemExit(f"read {document['rows']} after {expected} writes")
+        latencies[(route, document.get("target") or document["code"])].append(elapsed)
+        if response.status == 200:
+            check(route, document["rows"], turn)
     return latencies
 
 
@@ -98,7 +94,6 @@
         "--profile", choices=sorted(layout.PROFILES), default="small", help="sizes of the fleet"
     )
     profile = layout.PROFILES[parser.parse_args().profile]
-    configuration, key = build_configuration()
     base_port = fleet.free_base_port(layout.ports_needed(profile))
     with tempfile.TemporaryDirectory() as directory:
         started = fleet.Fleet(
@@ -107,9 +102,12 @@
             schema=SCHEMA,
         )
         try:
-            await started.start(configuration)
+            await started.start(None)
             print(f"fleet of {len(started.processes)} processes is ready")
-            print_table(await run_workload(started, key))
+            loaded = await operate(started, "sheet", "load", str(SHEET))
+            print(f"in force on {', '.join(loaded['in_force'])} after {loaded['seconds']:.1f} s")
+            issued = await operate(started, "key", "issue", ACCOUNT)
+            print_table(await run_workload(started, issued["key"]))
         except aiohttp.ClientError as error:
             raise SystemExit(f"the fleet did not answer: {error}") from error
         finally:
--- a/src/greengageshunt/commands/fleet.py
+++ b/src/greengageshunt/commands/fleet.py
@@ -1,6 +1,8 @@
 """Subcommand ``fleet status``."""
 
-from greengageshunt import application, codec, model
+import argparse
+
+from greengageshunt import application, codec, config, errors, model
 from greengageshunt.commands import command, vms
 from greengageshunt.configuration import status
 
@@ -17,7 +19,13 @@
 
 async def show_status(context: command.Context) -> command.Outcome:
     """Show the entry VMs."""
-    members = await context.platform.list_vms()
+    address = context.arguments.at
+    if address and config.is_address(address):
+        raise errors.SettingsError(f"--at: expected {config.is_address(address)}")
+    try:
+        members = await vms.members_at(address) if address else await context.platform.list_vms()
+    except errors.PeerError as error:
+        return command.refused(f"{error.peer} does not answer")
     statuses = await vms.gather(members)
     lines = [f"{'entry VM':<12} {'domain':<14} {'version':>7}  state"]
     lines += [_row(member, statuses[member.vm]) for member in members]
@@ -38,6 +46,16 @@
     )
 
 
+def _add_at(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        "--at",
+        default="",
+        metavar="ADDRESS",
+        help="take the list of entry VMs from the proxy at this HTTP address,"
+        " when the platform does not answer",
+    )
+
+
 def setup(app: application.Application) -> None:
     """Register the subcommand."""
     command.add(
@@ -46,7 +64,8 @@
             group="fleet",
             name="status",
             help="Show each entry VM's version and confirmation; 1 if one does not answer.",
-            examples=("fleet status", "--json fleet status"),
+            examples=("fleet status", "--json fleet status", "fleet status --at 10.0.1.11:7000"),
             run=show_status,
+            add_arguments=_add_at,
         ),
     )
--- a/src/greengageshunt/commands/group.py
+++ b/src/greengageshunt/commands/group.py
@@ -56,6 +56,13 @@
     )
 
 
+def _obeys(found: status.VmStatus, record: model.GroupRecord) -> bool:
+    """Return whether the primary that an entry VM knows is not draining."""
+    return not any(
+        known.group == record.group and known.primary in record.draining for known in found.groups
+    )
+
+
 async def _group_of(platform: Any, target: str) -> str:
     for record, _ in (await _records(platform)).values():
         if record.target(target):
@@ -96,7 +103,9 @@
         return command.refused(changed.failure())
     record = changed.unwrap()
     what = f"{target}: {done}"
-    force = await vms.wait_in_force(context, members, lambda found: _knows(found, record), what)
+    force = await vms.wait_in_force(
+        context, members, lambda found: _knows(found, record) and _obeys(found, record), what
+    )
     outcome = vms.describe(force, what)
     document = {"target": target, "draining": list(record.draining), **outcome.document}
     return dataclasses.replace(outcome, document=document)
--- a/src/greengageshunt/commands/settings.py
+++ b/src/greengageshunt/commands/settings.py
@@ -13,22 +13,30 @@
 _PROGRAMS = {
     "proxy": "greengageshunt.programs.proxy",
     "failover": "greengageshunt.programs.failover",
+    "ctl": "greengageshunt.programs.ctl",
 }
 _KINDS = {str: "string", int: "integer", float: "number", bool: "boolean", list: "strings"}
 
 
 def _application(program: str) -> application.Application:
     module = importlib.import_module(_PROGRAMS[program])
+    if program == "ctl":
+        return module.create()
     return common.create(f"greengageshunt-{program}", module.EXTENSIONS)
 
 
+def _name(program: str) -> str:
+    return "greengageshuntctl" if program == "ctl" else f"greengageshunt-{program}"
+
+
 async def check(context: command.Context) -> command.Outcome:
     """Check a settings file as the daemon does at its start."""
     path, program = context.arguments.file, context.arguments.program
     app = _application(program)
     app.configure(config.load(path, app.declared_settings))
-    common.check_parts(app)
-    line = f"{path.name} is valid for greengageshunt-{program}"
+    if program != "ctl":
+        common.check_parts(app)
+    line = f"{path.name} is valid for {_name(program)}"
     document = {"valid": True, "program": program}
     return command.Outcome(exit=command.Exit.DONE, lines=(line,), document=document)
 
@@ -43,15 +51,15 @@
     lines = [
         "# Settings",
         "",
-        "Each daemon reads one TOML file, given with `--settings`. The part of a key before the",
-        "last dot is the TOML table. A faulty file ends the daemon with exit code 2; check it with",
-        "`greengageshuntctl settings check FILE --program proxy`.",
+        "Each program reads one TOML file, given with `--settings`. The part of a key before the",
+        "last dot is the TOML table. A faulty file ends the program with exit code 2. Check a file",
+        "with `greengageshuntctl settings check FILE --program proxy`.",
         "",
         "This page is generated; after a change of a declared setting, run",
         "`greengageshuntctl settings reference > docs/operators/settings.md`.",
     ]
     for program in _PROGRAMS:
-        lines += ["", f"## greengageshunt-{program}", ""]
+        lines += ["", f"## {_name(program)}", ""]
         lines += ["| Key | Type | Default | Meaning |", "|---|---|---|---|"]
         declared = _application(program).declared_settings
         lines += [_row(declared[key]) for key in sorted(declared)]
--- a/src/greengageshunt/commands/vms.py
+++ b/src/greengageshunt/commands/vms.py
@@ -65,6 +65,23 @@
     return {member.vm: answer for member, answer in zip(members, found, strict=True)}
 
 
+async def members_at(address: str) -> tuple[model.Member, ...]:
+    """Return the entry VMs that the proxy at an HTTP address has listed, itself included.
+
+    For when the platform does not answer.
+    """
+    timeout = aiohttp.ClientTimeout(total=STATUS_TIMEOUT)
+    asked = model.Member(vm="", failure_domain="", peer_address="", http_address=address)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        found = await _get(session, asked)
+    if found is None:
+        raise errors.PeerError("no status", step=status.PATH, peer=address, sent=True)
+    return tuple(
+        dataclasses.replace(member, http_address=address) if member.vm == found.vm else member
+        for member in found.members
+    )
+
+
 async def _get(session: aiohttp.ClientSession, member: model.Member) -> status.VmStatus | None:
     if not member.http_address:
         return None
@@ -99,7 +116,11 @@
         and before.incarnation == found.incarnation
     }
     lists = {frozenset(later)}
-    lists |= {frozenset(found.members) for found in later.values() if found and found.members}
+    lists |= {
+        frozenset(member.vm for member in found.members)
+        for found in later.values()
+        if found and found.members
+    }
     return all(len(held & listed) >= confirmation.majority(len(listed)) for listed in lists)
 
 
--- a/src/greengageshunt/configuration/status.py
+++ b/src/greengageshunt/configuration/status.py
@@ -6,7 +6,7 @@
 
 from aiohttp import web
 
-from greengageshunt import application, codec
+from greengageshunt import application, codec, model
 
 PATH = "/v1/status"
 
@@ -43,7 +43,7 @@
         confirmed: Whether keys are served.
         confirmation_age: Seconds since the last confirmation, or None for never.
         leaving: Whether the proxy takes no new work.
-        members: Names of the entry VMs that it has listed; empty without a list.
+        members: Entry VMs that it has listed; empty without a list.
         groups: Groups that it knows.
     """
 
@@ -55,7 +55,7 @@
     confirmed: bool
     confirmation_age: float | None
     leaving: bool
-    members: tuple[str, ...]
+    members: tuple[model.Member, ...]
     groups: tuple[GroupStatus, ...]
 
 
@@ -87,7 +87,7 @@
             confirmed=now < self._confirmation.valid_until(now),
             confirmation_age=None if math.isinf(confirmed_at) else round(now - confirmed_at, 3),
             leaving=self._app.stopping,
-            members=tuple(sorted(member.vm for member in members)),
+            members=tuple(sorted(members, key=lambda member: member.vm)),
             groups=tuple(
                 GroupStatus(
                     group=record.group,
--- a/src/greengageshunt/membership/confirmation.py
+++ b/src/greengageshunt/membership/confirmation.py
@@ -2,7 +2,7 @@
 
 An entry VM that neither the platform nor a majority of the entry VMs has
 confirmed for too long may miss a withdrawn key or a moved share. The argument
-for the bound is in docs/decisions/confirmation.md.
+for the bound is in docs/decisions/0009-confirmation-of-keys.md.
 """
 
 import logging
--- a/src/greengageshunt/programs/ctl.py
+++ b/src/greengageshunt/programs/ctl.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import json
+import os
 import pathlib
 import sys
 from collections import abc
@@ -12,6 +13,9 @@
 
 NAME = "greengageshuntctl"
 
+# Environment variable with the path of the settings file.
+SETTINGS_VARIABLE = "GREENGAGESHUNTCTL_SETTINGS"
+
 EXTENSIONS = (
     "greengageshunt.platforms.http",
     "greengageshunt.commands.settings",
@@ -71,7 +75,9 @@
     )
     parser.add_argument("--json", action="store_true", help="print a JSON document")
     source = parser.add_mutually_exclusive_group()
-    source.add_argument("--settings", type=pathlib.Path, help="TOML file with [platform] address")
+    source.add_argument(
+        "--settings", type=pathlib.Path, help=f"TOML file (default: ${SETTINGS_VARIABLE})"
+    )
     source.add_argument("--platform", metavar="ADDRESS", help="host:port of the platform")
     groups = parser.add_subparsers(dest="group", required=True, metavar="COMMAND")
     subparsers = {}
@@ -99,8 +105,13 @@
     elif arguments.platform is not None:
         text = f"[platform]\naddress = {json.dumps(arguments.platform)}\n"
         app.configure(config.parse(text, app.declared_settings, "--platform"))
+    elif os.environ.get(SETTINGS_VARIABLE):
+        path = pathlib.Path(os.environ[SETTINGS_VARIABLE])
+        app.configure(config.load(path, app.declared_settings))
     else:
-        raise errors.SettingsError("expected --platform ADDRESS or --settings FILE")
+        raise errors.SettingsError(
+            f"expected --platform ADDRESS, --settings FILE, or the variable {SETTINGS_VARIABLE}"
+        )
 
 
 def _progress(line: str) -> None:
@@ -148,7 +159,8 @@
     if arguments.json:
         print(json.dumps(outcome.document, indent=2, sort_keys=True))
     else:
-        stream = sys.stdout if outcome.exit in (command.Exit.DONE, 3) else sys.stderr
+        stored = outcome.exit in (command.Exit.DONE, command.Exit.NOT_EVERYWHERE)
+        stream = sys.stdout if stored else sys.stderr
         print("\n".join(outcome.lines), file=stream)
     sys.exit(outcome.exit)
 
--- /dev/null
+++ b/tests/test_configuration/test_polling.py
@@ -0,0 +1,98 @@
+"""What the poller takes over from the platform."""
+
+import hashlib
+import json
+from typing import Any
+
+import pytest
+
+from greengageshunt import application, codec, invariants, model
+from greengageshunt.configuration import pointer, state
+from greengageshunt.groups import directory
+from greengageshunt.membership import view
+from greengageshunt.platforms import http, polling
+
+ME = model.Member(vm="vm-1", failure_domain="klang", peer_address="127.0.0.1:1")
+OTHER = model.Member(vm="vm-2", failure_domain="klang", peer_address="127.0.0.1:2")
+
+
+class Platform:
+    """Answers reads with what a test sets."""
+
+    def __init__(self) -> None:
+        self.row: dict[str, Any] | None = None
+        self.objects: dict[str, bytes] = {}
+        self.vms: tuple[model.Member, ...] = ()
+
+    def store(self, version: int, stored_version: int, digest: str = "") -> None:
+        """Point to a version; the object may hold another one."""
+        data = json.dumps(
+            {"version": stored_version, "accounts": [], "keys": [], "routes": []}
+            | {"token_secret": ""}
+        ).encode()
+        value = pointer.Pointer(
+            version=version, object="o", digest=digest or hashlib.sha256(data).hexdigest()
+        )
+        self.row = codec.to_plain(value)
+        self.objects["o"] = data
+
+    async def get_row(self, key: str) -> http.Row | None:
+        """Return the pointer row."""
+        return None if self.row is None else http.Row(key=key, value=self.row, etag="1")
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Return an object."""
+        return self.objects.get(name)
+
+    async def list_vms(self) -> tuple[model.Member, ...]:
+        """Return the list."""
+        return self.vms
+
+
+@pytest.fixture
+def platform() -> Platform:
+    """Return a platform."""
+    return Platform()
+
+
+@pytest.fixture
+def poller(platform) -> polling.PlatformPoller:
+    """Return a poller of the platform."""
+    app = application.Application(name="test")
+    app.add_part("invariants", "default", lambda app: invariants.Invariants(strict=True))
+    app.add_event("members-changed")
+    for module in (state, directory):
+        module.setup(app)
+    app.add_part("membership", "view", lambda app: view.MemberView(me=ME))
+    app.selected = lambda role: platform
+    return polling.PlatformPoller(app=app)
+
+
+async def test_pointer_confirms_only_the_version_in_force(poller, platform):
+    """Guards against a stale or missing pointer that confirms a newer version."""
+    assert not await poller._read_configuration(0.0)
+    platform.store(2, 2)
+    assert await poller._read_configuration(0.0)
+    platform.store(1, 1)
+    assert not await poller._read_configuration(0.0)
+    assert poller._configuration.version == 2
+
+
+@pytest.mark.parametrize(("stored", "digest"), [(2, ""), (3, "ab" * 32)])
+async def test_damaged_object_is_not_adopted(poller, platform, stored, digest):
+    """Guards against the object of a planner who lost the race, or a damaged one."""
+    platform.store(3, stored, digest)
+    with pytest.raises(ValueError, match="object"):
+        await poller._read_configuration(0.0)
+    assert poller._configuration.version == 0
+
+
+async def test_list_is_not_replaced_by_nothing_or_an_older_one(poller, platform):
+    """Guards against a majority of one, and against answers that arrive out of order."""
+    assert not await poller._read_vms(0.0)
+    assert not poller._view.listed
+    platform.vms = (ME, OTHER)
+    assert await poller._read_vms(2.0)
+    platform.vms = (ME,)
+    assert not await poller._read_vms(1.0)
+    assert poller._view.members == (ME, OTHER)
--- /dev/null
+++ b/tests/test_operators/test_drain.py
@@ -0,0 +1,124 @@
+"""Draining of targets and requested changes of primary, with real processes."""
+
+import asyncio
+
+from greengageshunt.commands import command
+from greengageshunt.membership import ownership
+from greengageshunt.peers import messages
+from greengageshunt.standins import fleet as fleet_module
+from support import callers, configurations, operators, peers
+
+DRAIN_BOUND = 3.0  # seconds, guarantee G11
+QUIET = 1.5  # seconds for which a drained target is watched
+ON_THE_WAY = 0.2  # seconds
+CALLERS = 12
+QUEUED = 300
+
+
+async def _browse(fleet: fleet_module.Fleet, key: str, codes: list[str]) -> None:
+    caller = callers.Caller(session=fleet.session, key=key)
+    vms = fleet.layout.vms
+    number = 0
+    while True:
+        address = vms[number % len(vms)].http_address
+        route = ("booking.browse", "booking.place")[number % 5 == 0]
+        reply = await caller.call(address, route, item="pot")
+        codes.append(reply.document.get("code", ""))
+        number += 1
+
+
+async def _statements(fleet: fleet_module.Fleet, target: str) -> int:
+    return len((await fleet.target_state(target))["seen_statements"])
+
+
+async def _busy(fleet: fleet_module.Fleet, target: str) -> bool:
+    before = await _statements(fleet, target)
+    await asyncio.sleep(0.2)
+    return await _statements(fleet, target) > before
+
+
+async def _queued_codes(fleet: fleet_module.Fleet, target: str) -> set[str]:
+    """Queue reads at the owner, and return the codes of their refusals, empty for none."""
+    group = fleet.layout.groups[0]
+    message = peers.read(group, target, valid_for=10.0)
+    live = [vm.member for vm in fleet.layout.vms]
+    async with peers.connect(ownership.owner(group.target(target), live)) as send:
+        answers = await asyncio.gather(*(send(message) for _ in range(QUEUED)))
+    return {
+        answer.refusal.code if isinstance(answer, messages.Failed) else "" for answer in answers
+    }
+
+
+async def test_draining_target_gets_no_statement_after_the_bound(start_fleet):
+    """Guards against work for a target that leaves, queued or from a cut-off entry VM."""
+    prepared = configurations.prepare()
+    # Slow statements keep requests waiting in the queues of the targets.
+    fleet = await start_fleet(prepared.configuration, service_ms=20.0)
+    group = fleet.layout.groups[0]
+    replica = group.targets[1].name
+    codes: list[str] = []
+    browsing = [
+        asyncio.create_task(_browse(fleet, prepared.keys["account-1"], codes))
+        for _ in range(CALLERS)
+    ]
+    await operators.wait_for(lambda: _busy(fleet, replica))
+    await fleet.set_platform_faults(cut_vms=["vm-3"])
+
+    drained = await operators.run(fleet, "target", "drain", replica)
+    assert drained.exit is command.Exit.DONE, drained.lines
+    assert drained.document["seconds"] < DRAIN_BOUND
+    # Nothing starts once each entry VM has the record; some may still be on the way.
+    await asyncio.sleep(ON_THE_WAY)
+    before = await _statements(fleet, replica)
+    await asyncio.sleep(QUIET)
+    assert await _statements(fleet, replica) == before
+
+    assert await _queued_codes(fleet, replica) == {"target_draining"}
+    await operators.run(fleet, "target", "undrain", replica)
+    await operators.wait_for(lambda: _busy(fleet, replica))
+
+    # Requests that wait in the owner's queue when the drain begins do not start after it.
+    queued = asyncio.create_task(_queued_codes(fleet, replica))
+    await operators.wait_for(lambda: _busy(fleet, replica))
+    await operators.run(fleet, "target", "drain", replica)
+    await asyncio.sleep(ON_THE_WAY)
+    before = await _statements(fleet, replica)
+    assert await queued == {"", "target_draining"}
+    assert await _statements(fleet, replica) == before
+    await operators.run(fleet, "target", "undrain", replica)
+
+    primary = group.primary
+    drained = await operators.run(fleet, "target", "drain", primary)
+    assert drained.exit is command.Exit.DONE, drained.lines
+    await asyncio.sleep(ON_THE_WAY)
+    before = await _statements(fleet, primary)
+    await asyncio.sleep(QUIET)
+    assert await _statements(fleet, primary) == before
+
+    for task in browsing:
+        task.cancel()
+    await asyncio.gather(*browsing, return_exceptions=True)
+    assert set(codes) == {""}
+
+
+async def test_promote_asks_the_failover_daemons(start_fleet):
+    """Guards against a request that no daemon reads, and against lost concurrent changes."""
+    prepared = configurations.prepare()
+    fleet = await start_fleet(prepared.configuration)
+    group = fleet.layout.groups[0]
+    successor, other = group.targets[1].name, group.targets[2].name
+
+    promoted, drained = await asyncio.gather(
+        operators.run(fleet, "group", "promote", group.group, successor),
+        operators.run(fleet, "target", "drain", other),
+    )
+    assert promoted.exit is command.Exit.DONE, promoted.lines
+    assert drained.exit is command.Exit.DONE, drained.lines
+    status = await operators.run(fleet, "group", "status")
+    (record,) = status.document["groups"]
+    assert (record["primary"], record["draining"]) == (successor, [other])
+
+    refused = await operators.run(fleet, "group", "promote", group.group, other)
+    assert refused.exit is command.Exit.REFUSED
+    unknown = await operators.run(fleet, "target", "drain", "nowhere")
+    assert unknown.exit is command.Exit.REFUSED
--- /dev/null
+++ b/tests/test_operators/test_output.py
@@ -0,0 +1,98 @@
+"""Output and exit codes of greengageshuntctl, without a fleet."""
+
+import json
+import os
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+from greengageshunt.commands import settings, vms
+from greengageshunt.programs import ctl
+
+ROOT = pathlib.Path(__file__).parents[2]
+
+BROKEN = """kind,name,rate,burst,account,digest,access
+account,bintang-glue,fast,0
+key,bintang.1,,,other,not a digest
+rout,booking.place
+account,bintang-glue,10,20
+"""
+
+
+def _run(*words: str, directory: pathlib.Path) -> subprocess.CompletedProcess[str]:
+    environment = {**os.environ, "PYTHONPATH": str(ROOT / "src"), "COLUMNS": "80"}
+    environment.pop(ctl.SETTINGS_VARIABLE, None)
+    return subprocess.run(
+        [sys.executable, "-m", "greengageshunt.programs.ctl", *words],
+        cwd=directory,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+
+
+@pytest.mark.parametrize("words", [[], ["sheet"], ["sheet", "load"], ["key", "issue"]])
+def test_help_has_examples_and_exit_codes(words, snapshot, monkeypatch, capsys):
+    """Guards against help that changes unnoticed or names no example."""
+    monkeypatch.setenv("COLUMNS", "80")
+    with pytest.raises(SystemExit) as ended:
+        ctl.build_parser(ctl.create()).parse_args([*words, "--help"])
+    assert ended.value.code == 0
+    assert capsys.readouterr().out == snapshot
+
+
+def test_broken_sheet(tmp_path, snapshot):
+    """Guards against errors without row and column, and against a wrong exit code."""
+    (tmp_path / "morning.csv").write_text(BROKEN)
+    text = _run("sheet", "check", "morning.csv", directory=tmp_path)
+    assert (text.returncode, text.stdout) == (1, "")
+    assert text.stderr == snapshot
+    document = _run("--json", "sheet", "check", "morning.csv", directory=tmp_path)
+    assert document.returncode == 1
+    assert json.loads(document.stdout) == snapshot
+
+
+@pytest.mark.parametrize(
+    "words",
+    [
+        ["sheet", "check"],
+        ["sheet", "check", "missing.csv"],
+        ["sheet", "status"],
+        ["--platform", "localhost", "sheet", "status"],
+        ["settings", "check", "faulty.toml"],
+    ],
+)
+def test_wrong_usage_or_settings_exit_with_2(words, tmp_path, snapshot):
+    """Guards against scripts that take a wrong command line for a refusal."""
+    (tmp_path / "faulty.toml").write_text("[vm]\nname = 1\n")
+    ended = _run(*words, directory=tmp_path)
+    assert ended.returncode == 2
+    assert ended.stderr == snapshot
+
+
+def test_platform_down_exits_with_1(tmp_path):
+    """Guards against a traceback when the platform does not answer."""
+    ended = _run("--platform", "127.0.0.1:9", "sheet", "status", directory=tmp_path)
+    assert ended.returncode == 1
+    assert ended.stderr.startswith("refused: platform did not answer")
+
+
+@pytest.mark.parametrize("accepted", [True, False])
+def test_change_that_is_not_in_force_everywhere(accepted, snapshot):
+    """Guards against a change that looks complete while an entry VM lacks it."""
+    missing = vms.Missing(vm="vm-3", reason="no answer")
+    force = vms.Force(accepted=accepted, in_force=("vm-1",), missing=(missing,), seconds=10.0)
+    outcome = vms.describe(force, "version 8")
+    assert outcome.exit == 3
+    assert (outcome.lines, outcome.document) == snapshot
+
+
+def test_settings_page_is_current():
+    """Guards against a settings reference that lags behind the declared settings."""
+    page = (ROOT / "docs/operators/settings.md").read_text()
+    assert page == "\n".join(settings.reference()) + "\n", (
+        "run: greengageshuntctl settings reference > docs/operators/settings.md"
+    )
