--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -24,6 +24,7 @@
     "member.update",
     "member.show",
 )
+PARAMETERS = {"booking.place": ("item",), "member.update": ("address",)}
 SCHEMA = """CREATE TABLE IF NOT EXISTS bookings (
     id INTEGER PRIMARY KEY, item TEXT NOT NULL, account TEXT NOT NULL
 );
@@ -63,7 +64,7 @@
         route = ROUTES[place]
         url = f"http://{addresses[number % len(addresses)]}/v1/routes/{route}"
         headers = {"Authorization": f"Bearer {key}", "Session-Token": session_token}
-        body = {"parameters": {"item": f"pot {turn}", "address": f"Lot {turn}"}}
+        body = {"parameters": {name: f"Lot {turn}" for name in PARAMETERS.get(route, ())}}
         began = time.perf_counter()
         async with started.session.post(url, json=body, headers=headers) as response:
             document = await response.json()
