--- a/src/greengageshunt/failover/rows.py
+++ b/src/greengageshunt/failover/rows.py
@@ -1,7 +1,6 @@
 """Group rows at the platform: intents of promoters and completed promotions."""
 
 import asyncio
-import dataclasses
 import logging
 from typing import Any
 
@@ -79,8 +78,7 @@
             stored_term=stored.term,
         )
         return True
-    wanted = dataclasses.replace(
-        stored,
+    wanted = stored.changed(
         term=record.term,
         primary=record.primary,
         history=record.history,
