--- a/src/greengageshunt/peers/messages.py
+++ b/src/greengageshunt/peers/messages.py
@@ -241,6 +241,8 @@
     TransactionBegin: TransactionBegun,
     TransactionEnd: Executed,
     Leaving: Acknowledged,
+    ConfigurationRequest: ConfigurationOffer,
+    ConfigurationOffer: Acknowledged,
 }
 
 
