Prove silence, bad input, graceful stop and transactions

Cause: a peer whose answer could not be decoded ended the link's task for good; the replication watch waited for ever on a silent connection; on SIGTERM peers were told last, requests of peers were cut, and a pool whose owner changed was closed with statements in flight. Transactions had no proof.

A stop first tells peers and the health check, then drains requests, transactions and pools.

Found on the way: with a lock holder waiting for a slot while the statements in all slots waited for its lock, both stood still until the lock timeout.

Ruled out: reporting "not run" for a transaction's statement whose answer was lost. It may have run, and a later commit would include it; only a rollback that the owner confirms makes "not run" true.

--- a/src/greengageshunt/proxy/execution.py
+++ b/src/greengageshunt/proxy/execution.py
@@ -100,11 +100,13 @@
         failed: set[str] = set()
         uncertain = False
         resent = False
+        committed = False
         attempt = 0
         while True:
             attempt += 1
             try:
                 answer = await self.attempt(job, model.Action.RUN, deadline, failed)
+                committed = committed or not answer.refused
                 answer = self.stated(answer, job)
             except errors.RefusedError as error:
                 refused = error.refusal
@@ -119,11 +121,14 @@
                 break
             await asyncio.sleep(decided.delay)
         if uncertain and job.request_id and job.writes:
-            return await self.settle(job, refused)
+            return await self.settle(job, refused, committed=committed)
         outcome = errors.Outcome.UNKNOWN if uncertain and job.writes else refused.outcome
+        self._check_not_run(job, outcome, committed)
         raise errors.RefusedError(dataclasses.replace(refused, outcome=outcome))
 
-    async def settle(self, job: Job, refused: errors.Refusal) -> model.Answer:
+    async def settle(
+        self, job: Job, refused: errors.Refusal, *, committed: bool = False
+    ) -> model.Answer:
         """Find or force the outcome of a write that was sent.
 
         A refusal is stored under the request id; when that commits and a second
@@ -132,6 +137,7 @@
         Args:
             job: The write.
             refused: Refusal of the last try.
+            committed: Whether a try has seen the commit.
 
         Raises:
             RefusedError: The write did not run, or its outcome stays unknown.
@@ -158,9 +164,14 @@
         if answer is None or (answer.refused and not answer.replicated):
             raise errors.RefusedError(dataclasses.replace(refused, outcome=errors.Outcome.UNKNOWN))
         if answer.refused:
+            self._check_not_run(job, errors.Outcome.NOT_RUN, committed)
             raise errors.RefusedError(dataclasses.replace(refused, outcome=errors.Outcome.NOT_RUN))
         return self.stated(answer, job)
 
+    def _check_not_run(self, job: Job, outcome: errors.Outcome, committed: bool) -> None:
+        false = committed and outcome is errors.Outcome.NOT_RUN
+        self._invariants.check("no-not-run-after-commit", not false, request_id=job.trace)
+
     async def look_up(self, job: Job) -> model.Answer:
         """Return what is stored under a request id.
 
--- a/src/greengageshunt/proxy/owner.py
+++ b/src/greengageshunt/proxy/owner.py
@@ -61,6 +61,7 @@
         self._view = app.part("membership", "view")
         self._directory = app.part("groups", "directory")
         self._grants = app.part("failover", "grants")
+        self._invariants = app.part("invariants", "default")
         self._owned: dict[str, OwnedTarget] = {}
         self._draining: set[asyncio.Task[None]] = set()
         app.part("peers", "server").add_handler(messages.Execute, self.execute)
@@ -142,6 +143,12 @@
         try:
             return await owned.pool.run(entry, job)
         except errors.TargetError as error:
+            self._invariants.check(
+                "no-error-after-commit",
+                not any(attempt.committed for attempt in attempts),
+                target=owned.pool.target.name,
+                request_id=work.request_id,
+            )
             sent = any(attempt.commit_sent for attempt in attempts)
             raise rejection.of_target_error(error, commit_sent=sent) from error
         except errors.RefusedError as error:
--- a/src/greengageshunt/proxy/replication.py
+++ b/src/greengageshunt/proxy/replication.py
@@ -11,11 +11,18 @@
 WATCH_TIMEOUT = 0.25  # seconds of one wait at the target
 RECONNECT_DELAY = 0.1  # seconds
 
+# Seconds without an answer to a wait after which the connection counts as silent.
+SILENCE_DEADLINE = 0.75
+
+# Seconds without a waiting commit after which the idle connection is checked.
+IDLE_CHECK_INTERVAL = 0.3
+
 
 class ReplicationWatch:
     """Waits at the primary, on one connection, on behalf of all its commits."""
 
     def __init__(self, *, app: application.Application, target: model.Target) -> None:
+        self._app = app
         self._driver = app.selected("driver")
         self._target = target
         self._offset = 0
@@ -57,7 +64,7 @@
                     await self._watch_connected(connection)
                 finally:
                     await connection.close()
-            except errors.TargetError as error:
+            except (errors.TargetError, TimeoutError) as error:
                 fields = {"target": self._target.name, "reason": str(error)}
                 logger.debug("replication watch failed", extra=fields)
             # Another primary may have a shorter log, so nothing learned before counts.
@@ -66,9 +73,21 @@
 
     async def _watch_connected(self, connection: Any) -> None:
         while True:
-            async with self._changed:
-                await self._changed.wait_for(lambda: self._waiting)
-            reached = await connection.wait_replicated(self._offset + 1, WATCH_TIMEOUT)
+            if not await self._commit_waits():
+                await connection.status(self._app.clock())
+                continue
+            async with asyncio.timeout(SILENCE_DEADLINE):
+                reached = await connection.wait_replicated(self._offset + 1, WATCH_TIMEOUT)
             async with self._changed:
                 self._offset = reached
                 self._changed.notify_all()
+
+    async def _commit_waits(self) -> bool:
+        """Wait until a commit waits, for the interval between idle checks."""
+        async with self._changed:
+            try:
+                async with asyncio.timeout(IDLE_CHECK_INTERVAL):
+                    await self._changed.wait_for(lambda: self._waiting)
+            except TimeoutError:
+                return False
+            return True
--- a/src/greengageshunt/proxy/transactions.py
+++ b/src/greengageshunt/proxy/transactions.py
@@ -15,6 +15,8 @@
 from greengageshunt.proxy import connection as connection_module
 from greengageshunt.proxy import owner, rejection
 from greengageshunt.requests import ledger
+from greengageshunt.scheduling import entry as entry_module
+from greengageshunt.scheduling import gate as gate_module
 
 logger = logging.getLogger(__name__)
 
@@ -23,6 +25,10 @@
 # Number of ended transactions whose end can still be told.
 ENDED_KEPT = 1000
 
+# Seconds that a transaction with writes waits for a slot. The statements in all
+# slots may wait for its locks, which only its own next statements can release.
+SLOT_WAIT = 0.25
+
 # Seconds for a statement that ends a transaction on behalf of nobody.
 ROLLBACK_TIMEOUT = 1.0
 
@@ -50,6 +56,7 @@
         self.number = number
         self.commands: asyncio.Queue[Command] = asyncio.Queue()
         self.connection: Any = None
+        self.has_written = False
         self.commit_sent = False
 
 
@@ -126,7 +133,9 @@
         gate = self._owner.owned(target).pool.gate
 
         async def run(lease: connection_module.Lease) -> model.Answer:
-            async with gate.slot(entry):
+            async with contextlib.AsyncExitStack() as stack:
+                await self._enter_slot(stack, opened, gate, entry)
+                opened.has_written = opened.has_written or message.work.write
                 return await self._statement(opened, lease, entry.deadline, message.work)
 
         answer = await self._submit(opened, run, ends=False)
@@ -247,6 +256,27 @@
             command.future.set_result(value)
         return "ended by its caller" if command.ends else ""
 
+    async def _enter_slot(
+        self,
+        stack: contextlib.AsyncExitStack,
+        opened: OpenTransaction,
+        gate: gate_module.SlotGate,
+        entry: entry_module.Entry,
+    ) -> None:
+        """Wait for a slot; a transaction that may hold locks goes on without one.
+
+        Raises:
+            RefusedError: No slot was free in time, and the transaction has not written.
+        """
+        if not opened.has_written:
+            await stack.enter_async_context(gate.slot(entry))
+            return
+        deadline = min(entry.deadline, self._app.clock() + SLOT_WAIT)
+        with contextlib.suppress(errors.RefusedError):
+            await stack.enter_async_context(
+                gate.slot(dataclasses.replace(entry, deadline=deadline))
+            )
+
     async def _begin(self, opened: OpenTransaction, lease: connection_module.Lease) -> None:
         async def job(connection: Any) -> None:
             opened.connection = connection
--- /dev/null
+++ b/tests/test_peers/test_link.py
@@ -0,0 +1,169 @@
+"""Peer links against a peer that misbehaves."""
+
+import asyncio
+import contextlib
+
+import cbor2
+import pytest
+from websockets.asyncio import server
+
+from greengageshunt import application, errors, model
+from greengageshunt.peers import link, messages
+
+ACK = messages.HeartbeatAck(
+    vm="vm-2", configuration_version=1, leaving=False, statuses=(), groups=(), extras={}
+)
+BROKEN = (
+    b"",
+    b"\xff\xff",
+    b"text",
+    cbor2.dumps([["Executed"], 1, {}]),
+    cbor2.dumps(["Unknown", 1, {}]),
+    cbor2.dumps(["Acknowledged", "1", {}]),
+    cbor2.dumps(["HeartbeatAck", 1, {"vm": 1}]),
+    cbor2.dumps(["Executed", 1, {"answer": {"rows": [[[]]]}}]),
+    b"\x81" * 5000,
+)
+
+
+class Peer:
+    """A peer whose answers to ``Leaving`` are given by a test."""
+
+    def __init__(self):
+        self.connections = 0
+        self.answers = []
+        self.silent = False
+
+    async def serve(self, connection):
+        """Answer the messages of one link."""
+        self.connections += 1
+        mine = self.connections
+        async for frame in connection:
+            correlation, message = messages.decode(frame)
+            if self.silent and mine == 1:
+                continue
+            if isinstance(message, messages.Heartbeat):
+                await connection.send(messages.encode(ACK, correlation))
+            elif self.answers:
+                for send in self.answers.pop(0)(correlation):
+                    await connection.send(send)
+
+
+@contextlib.asynccontextmanager
+async def _linked():
+    peer = Peer()
+    async with server.serve(peer.serve, "127.0.0.1", 0, ping_interval=None) as listening:
+        host, port = listening.sockets[0].getsockname()
+        peer_link = link.PeerLink(
+            app=application.Application(name="test"),
+            peer=model.Member(vm="vm-2", failure_domain="klang", peer_address=f"{host}:{port}"),
+            heartbeat=lambda: messages.Heartbeat(vm="vm-1", configuration_version=1, leaving=False),
+            received=lambda ack, sent_at: None,
+        )
+        task = asyncio.create_task(peer_link.run())
+        try:
+            await _connected(peer_link)
+            yield peer, peer_link
+        finally:
+            task.cancel()
+            await asyncio.wait({task})
+
+
+async def _connected(peer_link):
+    async with asyncio.timeout(5):
+        while not peer_link.connected:  # noqa: ASYNC110 - links have no event
+            await asyncio.sleep(0.01)
+
+
+def _acknowledged(correlation):
+    return [messages.encode(messages.Acknowledged(), correlation)]
+
+
+async def _ask(peer_link, timeout=2.0):
+    return await peer_link.request(messages.Leaving(vm="vm-1"), timeout)
+
+
+async def test_late_answer_is_dropped_and_counted():
+    """Guards against the answer of an earlier request that is given to the next."""
+    async with _linked() as (peer, peer_link):
+        held = []
+
+        def hold(correlation):
+            held.append(correlation)
+            return []
+
+        peer.answers = [hold, lambda correlation: _acknowledged(held[0])]
+        for _ in range(2):
+            with pytest.raises(errors.PeerError) as caught:
+                await _ask(peer_link, timeout=0.1)
+            assert caught.value.sent
+        assert peer_link.late_answers == 1
+        peer.answers = [_acknowledged]
+        assert await _ask(peer_link) == messages.Acknowledged()
+
+
+async def test_answer_of_another_kind_is_refused():
+    """Guards against an answer that belongs to another request of the same link."""
+    async with _linked() as (peer, peer_link):
+        peer.answers = [lambda correlation: [messages.encode(ACK, correlation)]]
+        with pytest.raises(errors.PeerError):
+            await _ask(peer_link)
+        assert peer_link.crossed_answers == 1
+
+
+async def test_answers_in_any_order_reach_their_requests():
+    """Guards against answers that are matched by their order."""
+    async with _linked() as (peer, peer_link):
+        correlations = []
+
+        def collect(correlation):
+            correlations.append(correlation)
+            return []
+
+        def answer_reversed(correlation):
+            return [
+                messages.encode(
+                    messages.Failed(
+                        refusal=errors.Refusal(
+                            code=str(known),
+                            message="",
+                            outcome=errors.Outcome.NOT_RUN,
+                            step="test",
+                        )
+                    ),
+                    known,
+                )
+                for known in reversed([*correlations, correlation])
+            ]
+
+        peer.answers = [collect, collect, answer_reversed]
+        results = await asyncio.gather(*(_ask(peer_link) for _ in range(3)), return_exceptions=True)
+        codes = [int(error.refusal.code) for error in results]
+        assert codes == sorted(codes) and len(set(codes)) == 3
+
+
+@pytest.mark.parametrize("frame", BROKEN)
+async def test_broken_answer_closes_the_link_and_a_new_one_works(frame):
+    """Guards against a peer whose broken message ends the link's task for good."""
+    async with _linked() as (peer, peer_link):
+        peer.answers = [lambda correlation: [frame]]
+        with pytest.raises(errors.PeerError):
+            await _ask(peer_link)
+        peer.answers = [_acknowledged]
+        await _connected(peer_link)
+        assert await _ask(peer_link) == messages.Acknowledged()
+        assert peer.connections == 2
+
+
+async def test_silent_link_is_replaced_within_a_second():
+    """Guards against requests that wait on a link which stays open but says nothing."""
+    async with _linked() as (peer, peer_link):
+        peer.silent = True
+        began = asyncio.get_running_loop().time()
+        with pytest.raises(errors.PeerError):
+            await _ask(peer_link, timeout=5.0)
+        await _connected(peer_link)
+        elapsed = asyncio.get_running_loop().time() - began
+        peer.answers = [_acknowledged]
+        assert await _ask(peer_link) == messages.Acknowledged()
+        assert elapsed <= 1.0
--- /dev/null
+++ b/tests/test_stop/test_graceful_stop.py
@@ -0,0 +1,126 @@
+"""A planned stop, with real processes: nothing in progress is cut."""
+
+import asyncio
+import signal
+import time
+
+import aiohttp
+
+from support import callers, configurations, database, placement
+
+WORKERS = 6
+LOAD_TIME = 1.5  # seconds of load before and during the stop
+HEALTH_INTERVAL = 0.1  # seconds between the checks of a balancer
+DEADLINE = 10.0  # seconds
+STOP_LIMIT = 25.0  # seconds
+
+
+class Balancer:
+    """Sends each request to one of the healthy proxies, as the platform's balancer does."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self._healthy = list(fleet.layout.vms)
+        self._next = 0
+
+    async def watch(self):
+        """Check the health of all proxies until cancelled."""
+        while True:
+            healthy = []
+            for vm in self._fleet.layout.vms:
+                try:
+                    url = f"http://{vm.http_address}/healthz"
+                    async with self._fleet.session.get(url) as response:
+                        healthy += [vm] if response.status == 200 else []
+                except aiohttp.ClientError:
+                    continue
+            self._healthy = healthy
+            await asyncio.sleep(HEALTH_INTERVAL)
+
+    def pick(self):
+        """Return the next healthy proxy."""
+        self._next += 1
+        return self._healthy[self._next % len(self._healthy)]
+
+
+async def _work(fleet, key, balancer, worker, until, sent):
+    number = 0
+    while time.monotonic() < until:
+        number += 1
+        item = f"{worker}-{number}"
+        caller = callers.Caller(session=fleet.session, key=key)
+        address = balancer.pick().http_address
+        # Any error of the connection ends the test: the request was cut.
+        sent[item] = await caller.call(address, "booking.place", request_id=item, item=item)
+
+
+async def _wait_end(process):
+    async with asyncio.timeout(STOP_LIMIT):
+        while process.poll() is None:  # noqa: ASYNC110 - processes of subprocess have no event
+            await asyncio.sleep(0.02)
+    return process.returncode
+
+
+async def test_stop_under_load_cuts_nothing(start_fleet):
+    """Guards against requests of callers or of peers that a planned stop interrupts."""
+    prepared = configurations.prepare(rate=100_000.0, burst=100_000.0)
+    fleet = await start_fleet(prepared.configuration)
+    key = prepared.keys["account-1"]
+    await placement.wait_agreed(fleet, key)
+    leaving = placement.owner_of_primary(fleet).member.vm
+    balancer = Balancer(fleet)
+    watching = asyncio.create_task(balancer.watch())
+    until = time.monotonic() + 2 * LOAD_TIME
+    sent = {}
+    workers = [
+        asyncio.create_task(_work(fleet, key, balancer, worker, until, sent))
+        for worker in range(WORKERS)
+    ]
+    await asyncio.sleep(LOAD_TIME)
+    process = fleet.processes[leaving]
+
+    fleet.signal(leaving, signal.SIGTERM)
+    code = await _wait_end(process)
+    await asyncio.gather(*workers)
+    watching.cancel()
+
+    failed = {item: reply for item, reply in sent.items() if reply.status != 200}
+    stored = database.booked_items(fleet)
+    assert code == 0
+    assert not failed
+    assert stored == dict.fromkeys(sent, 1)
+    assert not database.violations(fleet)
+
+
+async def test_open_transaction_ends_before_its_owner_stops(start_fleet):
+    """Guards against a planned stop that rolls back a transaction in progress."""
+    prepared = configurations.prepare()
+    fleet = await start_fleet(prepared.configuration)
+    key = prepared.keys["account-1"]
+    await placement.wait_agreed(fleet, key)
+    owner = placement.owner_of_primary(fleet)
+    entry = next(vm for vm in fleet.layout.vms if vm != owner)
+    caller = callers.Caller(session=fleet.session, key=key)
+    begun = await caller.begin(entry.http_address, configurations.GROUP)
+    transaction = begun.document["transaction"]
+    await caller.call(entry.http_address, "booking.place", transaction=transaction, item="before")
+    process = fleet.processes[owner.member.vm]
+
+    fleet.signal(owner.member.vm, signal.SIGTERM)
+    # Peers are told first, so new transactions go to the next owner at once.
+    await asyncio.sleep(1.5)
+    assert process.poll() is None
+    await caller.call(entry.http_address, "booking.list")
+    lines = database.log_lines(fleet, entry.member.vm)
+    owners = [line["owner"] for line in lines if line.get("decision") == "route"]
+    assert owners[-1] != owner.member.vm
+    placed = await caller.call(
+        entry.http_address, "booking.place", transaction=transaction, item="after"
+    )
+    committed = await caller.end(entry.http_address, transaction, "commit")
+
+    assert placed.status == 200, placed.document
+    assert committed.status == 200, committed.document
+    assert await _wait_end(process) == 0
+    assert database.booked_items(fleet) == {"before": 1, "after": 1}
+    assert not database.violations(fleet)
