--- a/src/greengageshunt/programs/proxy.py
+++ b/src/greengageshunt/programs/proxy.py
@@ -14,6 +14,7 @@
     "greengageshunt.failover.grants",
     "greengageshunt.scheduling.fifo",
     "greengageshunt.routing.position",
+    "greengageshunt.routing.waiting",
     "greengageshunt.admission.static_split",
     "greengageshunt.peers.server",
     "greengageshunt.peers.links",
--- a/src/greengageshunt/proxy/execution.py
+++ b/src/greengageshunt/proxy/execution.py
@@ -297,6 +297,7 @@
                 status.target for status in statuses if now - status.observed_at <= LIVE_DEADLINE
             ),
             in_transaction=False,
+            waited=now - job.started_at,
             avoided=frozenset(failed),
         )
 
--- a/src/greengageshunt/proxy/forwarding.py
+++ b/src/greengageshunt/proxy/forwarding.py
@@ -9,6 +9,11 @@
 logger = logging.getLogger(__name__)
 
 
+# Seconds for the answer of an owner whose work ended at the deadline. Without them,
+# its definite refusal would come just after the request counts as lost.
+ANSWER_GRACE = 0.05
+
+
 def refusal(
     code: str,
     message: str,
@@ -67,7 +72,7 @@
         if vm == self._view.me.vm:
             return await self._handlers[type(message)](message, now)
         try:
-            return await self._links.request(vm, message, message.timeout)
+            return await self._links.request(vm, message, message.timeout + ANSWER_GRACE)
         except errors.PeerError as error:
             raise refusal(
                 "owner_unreachable" if error.sent else "peer_link_down",
--- a/src/greengageshunt/requests/budget.py
+++ b/src/greengageshunt/requests/budget.py
@@ -28,6 +28,7 @@
         "owner_leaving",
         "peer_link_down",
         "position_not_reached",
+        "replica_behind",
         "target_draining",
         "term_changed",
     }
--- a/src/greengageshunt/routing/decision.py
+++ b/src/greengageshunt/routing/decision.py
@@ -18,6 +18,7 @@
         waits: Seconds that a request would wait for a slot, by target.
         live_targets: Names of targets that answered within the heartbeat deadline.
         in_transaction: Whether the request belongs to an open transaction.
+        waited: Seconds since the request arrived.
         avoided: Names of targets that failed an earlier try of the request.
     """
 
@@ -29,6 +30,7 @@
     waits: dict[str, float]
     live_targets: frozenset[str]
     in_transaction: bool
+    waited: float = 0.0
     avoided: frozenset[str] = frozenset()
 
 
--- /dev/null
+++ b/src/greengageshunt/routing/waiting.py
@@ -0,0 +1,61 @@
+"""Routing policy that waits briefly for a replica while the primary is loaded."""
+
+import math
+
+from returns import result
+
+from greengageshunt import application, errors, model
+from greengageshunt.routing import decision, position
+
+# Expected wait at the primary from which on waiting for a replica pays, in seconds.
+LOADED_WAIT = 0.01
+
+# Time for which a read waits for a replica at most, in seconds.
+REPLICA_WAIT = 0.1
+
+
+def _may_wait(inputs: decision.RoutingInput) -> bool:
+    """Return whether a replica may soon serve a read that only the primary can serve now."""
+    record, route = inputs.record, inputs.route
+    if route.kind is model.RouteKind.WRITE or route.staleness <= 0 or inputs.in_transaction:
+        return False
+    if inputs.position is None or inputs.waited >= REPLICA_WAIT:
+        return False
+    if inputs.waits.get(record.primary, 0.0) < LOADED_WAIT:
+        return False
+    return any(
+        name != record.primary
+        and name not in record.draining
+        and name not in inputs.avoided
+        and inputs.lags.get(name, math.inf) <= route.staleness
+        for name in inputs.live_targets
+    )
+
+
+def choose(
+    inputs: decision.RoutingInput, now: float
+) -> result.Result[decision.RoutingDecision, errors.Refusal]:
+    """Choose the target of a request; see ``position.choose``.
+
+    Returns:
+        The choice, or the refusal ``replica_behind``, after which the request is
+        held and chosen for again.
+    """
+    chosen = position.choose(inputs, now)
+    to_primary = chosen.map(lambda choice: choice.target == inputs.record.primary).value_or(False)
+    if not to_primary or not _may_wait(inputs):
+        return chosen
+    return result.Failure(
+        errors.Refusal(
+            code="replica_behind",
+            message="no replica has the session's position yet, and the primary is loaded",
+            outcome=errors.Outcome.NOT_RUN,
+            step="route",
+            peer=inputs.record.primary,
+        )
+    )
+
+
+def setup(app: application.Application) -> None:
+    """Register the routing policy."""
+    app.add_part("routing", "waiting", lambda app: choose)
--- a/tests/test_kernel/test_config.py
+++ b/tests/test_kernel/test_config.py
@@ -41,7 +41,10 @@
             'proxy.toml: http.address: expected an address such as "127.0.0.1:7000"',
         ),
         (VALID.replace("[http]", "").replace('address = "127.0.0.1:7000"\n', ""), "http.address"),
-        (VALID + '[parts]\nrouting = "x"\n', "parts.routing: expected one of position, got 'x'"),
+        (
+            VALID + '[parts]\nrouting = "x"\n',
+            "parts.routing: expected one of position, waiting, got 'x'",
+        ),
         ("[vm", "proxy.toml: expected TOML"),
     ],
 )
--- /dev/null
+++ b/tests/test_routing/test_waiting.py
@@ -0,0 +1,83 @@
+"""The variant that waits for a replica while the primary is loaded."""
+
+import dataclasses
+
+import pytest
+from returns import pipeline
+
+from greengageshunt import model
+from greengageshunt.routing import decision, waiting
+
+
+def _target(name):
+    return model.Target(
+        name=name,
+        failure_domain="klang",
+        address="",
+        replication_address="",
+        connection_limit=15,
+        slots=2,
+    )
+
+
+def _status(name, offset):
+    return model.TargetStatus(
+        target=name,
+        term=1,
+        promoter="",
+        role=model.Role.REPLICA,
+        offset=offset,
+        history=(model.TermStart(term=1, first_offset=1),),
+        observed_at=0.0,
+    )
+
+
+INPUTS = decision.RoutingInput(
+    route=model.Route(name="r", group="g", kind=model.RouteKind.READ, statement="", staleness=5.0),
+    record=model.GroupRecord(
+        group="g",
+        term=1,
+        primary="a",
+        targets=(_target("a"), _target("b")),
+        history=(model.TermStart(term=1, first_offset=1),),
+    ),
+    statuses=(_status("a", 9), _status("b", 8)),
+    position=model.Position(term=1, offset=9),
+    lags={"a": 0.0, "b": 0.1},
+    waits={"a": 0.05, "b": 0.0},
+    live_targets=frozenset({"a", "b"}),
+    in_transaction=False,
+)
+
+
+def test_read_waits_for_a_replica_while_the_primary_is_loaded():
+    """Guards against reads that queue at a loaded primary."""
+    assert waiting.choose(INPUTS, 0.0).failure().code == "replica_behind"
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"waits": {"a": 0.0, "b": 0.0}},
+        {"waited": waiting.REPLICA_WAIT},
+        {"live_targets": frozenset({"a"})},
+        {"lags": {"a": 0.0, "b": 9.0}},
+        {"avoided": frozenset({"b"})},
+        {"record": dataclasses.replace(INPUTS.record, draining=("b",))},
+        {"route": dataclasses.replace(INPUTS.route, kind=model.RouteKind.WRITE)},
+        {"route": dataclasses.replace(INPUTS.route, staleness=0.0)},
+    ],
+)
+def test_request_does_not_wait_without_prospect(change):
+    """Guards against waiting that no replica can end, and against waiting writes."""
+    chosen = waiting.choose(dataclasses.replace(INPUTS, **change), 0.0)
+    assert pipeline.is_successful(chosen)
+    assert chosen.unwrap().target == "a"
+
+
+def test_draining_replica_gets_no_read():
+    """Guards against new work for a target that leaves."""
+    fresh = dataclasses.replace(INPUTS, position=model.Position(term=1, offset=8))
+    draining = dataclasses.replace(fresh.record, draining=("b",))
+    assert waiting.choose(fresh, 0.0).unwrap().target == "b"
+    assert waiting.choose(dataclasses.replace(fresh, record=draining), 0.0).unwrap().target == "a"
