--- a/src/greengageshunt/proxy/owner.py
+++ b/src/greengageshunt/proxy/owner.py
@@ -61,6 +61,7 @@
         self._view = app.part("membership", "view")
         self._directory = app.part("groups", "directory")
         self._grants = app.part("failover", "grants")
+        self._invariants = app.part("invariants", "default")
         self._term_work = app.part("failover", "term-work")
         self._owned: dict[str, OwnedTarget] = {}
         self._draining: set[asyncio.Task[None]] = set()
@@ -174,6 +175,12 @@
                 return await self._term_work.run(record, run, job)
             return await run(job)
         except errors.TargetError as error:
+            self._invariants.check(
+                "no-error-after-commit",
+                not any(attempt.committed for attempt in attempts),
+                target=owned.pool.target.name,
+                request_id=work.request_id,
+            )
             sent = any(attempt.commit_sent for attempt in attempts)
             raise rejection.of_target_error(error, commit_sent=sent) from error
         except errors.RefusedError as error:
--- a/tests/support/relay.py
+++ b/tests/support/relay.py
@@ -4,6 +4,10 @@
 import contextlib
 from collections import abc
 
+from greengageshunt.standins import fleet as fleet_module
+from greengageshunt.standins import layout as layout_module
+from support import configurations
+
 CHUNK = 2**16  # bytes
 
 
@@ -12,27 +16,22 @@
 
     def __init__(self, *, client: asyncio.StreamWriter, server: asyncio.StreamWriter) -> None:
         self._writers = (client, server)
-        self._passing = asyncio.Event()
-        self._passing.set()
+        self._silent = False
 
     @property
     def silent(self) -> bool:
         """Whether the connection forwards nothing."""
-        return not self._passing.is_set()
+        return self._silent
 
     def silence(self) -> None:
-        """Forward nothing from now on, and keep both sides open."""
-        self._passing.clear()
+        """Drop all data from now on; a side that closes still ends the connection."""
+        self._silent = True
 
     def cut(self) -> None:
         """Close both sides at once."""
         for writer in self._writers:
             writer.transport.abort()
 
-    async def passing(self) -> None:
-        """Wait until the connection is not silent."""
-        await self._passing.wait()
-
 
 class Relay:
     """Forwards TCP connections from an own port to an address."""
@@ -117,7 +116,8 @@
                     return
                 if self.delay:
                     await asyncio.sleep(self.delay)
-                await connection.passing()
+                if connection.silent:
+                    continue
                 writer.write(data)
                 await writer.drain()
 
@@ -144,3 +144,22 @@
         await relays[address].start()
         stack.push_async_callback(relays[address].stop)
     return relays
+
+
+async def start_before_primary(
+    start_fleet: abc.Callable[..., abc.Awaitable[fleet_module.Fleet]],
+    prepared: configurations.Prepared,
+    stack: contextlib.AsyncExitStack,
+    **options: object,
+) -> tuple[fleet_module.Fleet, Relay]:
+    """Start a fleet that reaches the primary of its first group through a relay."""
+    relays = {}
+
+    async def start_relays(layout: layout_module.Layout) -> dict[str, str]:
+        group = layout.groups[0]
+        addresses = [group.target(group.primary).address]
+        relays.update(await relay_all(addresses, stack))
+        return {address: started.address for address, started in relays.items()}
+
+    fleet = await start_fleet(prepared.configuration, relays=start_relays, **options)
+    return fleet, next(iter(relays.values()))
