--- a/scripts/measure_failover.py
+++ b/scripts/measure_failover.py
@@ -1,8 +1,9 @@
 """Kills the primary of a group again and again and reports the gap in acknowledged writes.
 
 The gap of a run is the time from the kill to the first acknowledgement by another
-target. Writers go on through all proxies meanwhile. After each run the killed target
-starts again, and each write acknowledged as replicated is looked for at the primary.
+target; with ``--planned``, from the last acknowledgement by the old primary. Writers
+go on through all proxies meanwhile. After each kill the target starts again, and each
+write acknowledged as replicated is looked for at the primary.
 """
 
 import argparse
@@ -19,8 +20,9 @@
 
 import aiohttp
 
-from greengageshunt import model
+from greengageshunt import codec, model
 from greengageshunt.configuration import keys
+from greengageshunt.platforms import http, polling
 from greengageshunt.standins import fleet, layout
 
 GROUP = "order-desk-1"
@@ -131,20 +133,49 @@
             await asyncio.sleep(0.02)
 
 
+async def wait_moved(journal: Journal, old: str) -> tuple[Acknowledgement, float]:
+    """Wait for an acknowledgement by another target.
+
+    Returns:
+        The acknowledgement, and the seconds since the last one by the old target.
+    """
+    began = len(journal.acknowledged)
+
+    async def is_acknowledged() -> bool:
+        return any(each.target != old for each in journal.acknowledged[began:])
+
+    await until(is_acknowledged)
+    after = next(each for each in journal.acknowledged[began:] if each.target != old)
+    before = max(each.at for each in journal.acknowledged if each.target == old)
+    return after, after.at - before
+
+
+async def request_once(
+    started: fleet.Fleet, group: model.GroupRecord, journal: Journal
+) -> tuple[str, float]:
+    """Request another primary; return the old one and the gap in acknowledgements."""
+    old = journal.acknowledged[-1].target
+    names = [target.name for target in group.targets]
+    wanted = names[(names.index(old) + 1) % len(names)]
+    platform = http.HttpPlatform(address=started.layout.platform_address, vm="measure")
+    try:
+        row = await platform.get_row(f"{polling.GROUP_PREFIX}{group.group}")
+        record = codec.from_plain(row.value, model.GroupRecord).changed(requested_primary=wanted)
+        await platform.put_row(row.key, codec.to_plain(record), row.etag)
+    finally:
+        await platform.close()
+    _, gap = await wait_moved(journal, old)
+    return old, gap
+
+
 async def kill_once(
     started: fleet.Fleet, group: model.GroupRecord, journal: Journal
 ) -> tuple[str, float]:
     """Kill the primary, wait for the next one; return the killed target and the gap."""
     killed = journal.acknowledged[-1].target
-    began = len(journal.acknowledged)
     killed_at = time.monotonic()
     started.kill(killed)
-
-    async def is_acknowledged() -> bool:
-        return any(each.target != killed for each in journal.acknowledged[began:])
-
-    await until(is_acknowledged)
-    after = next(each for each in journal.acknowledged[began:] if each.target != killed)
+    after, _ = await wait_moved(journal, killed)
     started.start_target(group, group.target(killed))
 
     async def follows() -> bool:
@@ -165,8 +196,11 @@
     return len(expected - set(items)), sum(count - 1 for count in items.values())
 
 
-async def measure(started: fleet.Fleet, key: str, runs: int, seed: int) -> list[float]:
-    """Run all kills; print a line for each and return the gaps."""
+async def measure(
+    started: fleet.Fleet, key: str, runs: int, seed: int, *, planned: bool
+) -> list[float]:
+    """Run all changes of primary; print a line for each and return the gaps."""
+    change = request_once if planned else kill_once
     group = started.layout.groups[0]
     journal = Journal()
     chance = random.Random(seed)
@@ -178,10 +212,10 @@
         ]
         for run in range(1, runs + 1):
             await asyncio.sleep(chance.uniform(*PAUSE_BOUNDS))
-            killed, gap = await kill_once(started, group, journal)
+            old, gap = await change(started, group, journal)
             gaps.append(gap)
             lost, doubled = await count_faults(started, key, journal)
-            print(f"run {run:>3}: killed {killed}, gap {gap:.3f} s, {lost} lost, {doubled} doubled")
+            print(f"run {run:>3}: from {old}, gap {gap:.3f} s, {lost} lost, {doubled} doubled")
         for writer in writers:
             writer.cancel()
     unreplicated = sum(not each.replicated for each in journal.acknowledged)
@@ -194,8 +228,9 @@
     """Run the measurement."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--profile", choices=sorted(layout.PROFILES), default="small")
-    parser.add_argument("--runs", type=int, default=20, help="kills of the primary")
+    parser.add_argument("--runs", type=int, default=20, help="changes of the primary")
     parser.add_argument("--seed", type=int, default=1, help="seed of the pauses between kills")
+    parser.add_argument("--planned", action="store_true", help="request changes instead of kills")
     parser.add_argument("--logs", type=pathlib.Path, help="directory that keeps logs and data")
     arguments = parser.parse_args()
     profile = layout.PROFILES[arguments.profile]
@@ -209,11 +244,13 @@
         )
         try:
             await started.start(configuration)
-            gaps = await measure(started, key, arguments.runs, arguments.seed)
+            gaps = await measure(
+                started, key, arguments.runs, arguments.seed, planned=arguments.planned
+            )
         finally:
             await started.stop()
     print(
-        f"profile {profile.name}, seed {arguments.seed}, {len(gaps)} kills: gap min"
+        f"profile {profile.name}, seed {arguments.seed}, {len(gaps)} changes: gap min"
         f" {min(gaps):.3f} s, median {statistics.median(gaps):.3f} s, max {max(gaps):.3f} s"
     )
 
--- a/src/greengageshunt/proxy/owner.py
+++ b/src/greengageshunt/proxy/owner.py
@@ -270,17 +270,17 @@
         for target in wanted.values():
             self.owned(target)
         for name in set(self._owned) - set(wanted):
-            task = asyncio.create_task(_drain(self._owned.pop(name)), name=f"drain {name}")
+            task = asyncio.create_task(self._drain(self._owned.pop(name)), name=f"drain {name}")
             self._draining.add(task)
             task.add_done_callback(self._draining.discard)
 
-
-async def _drain(owned: OwnedTarget) -> None:
-    try:
-        await owned.pool.drain(DRAIN_LIMIT)
-    finally:
-        owned.pool.close()
-        owned.watch.close()
+    async def _drain(self, owned: OwnedTarget) -> None:
+        try:
+            await owned.pool.drain(DRAIN_LIMIT)
+        finally:
+            self._term_work.end_target(owned.pool.target.name)
+            owned.pool.close()
+            owned.watch.close()
 
 
 def _owns(me: model.Member, target: model.Target, live: tuple[model.Member, ...]) -> bool:
--- a/src/greengageshunt/requests/budget.py
+++ b/src/greengageshunt/requests/budget.py
@@ -25,6 +25,7 @@
         "group_unknown",
         "no_connection",
         "no_grant",
+        "owner_changed",
         "not_primary",
         "owner_leaving",
         "peer_link_down",
