--- a/src/greengageshunt/membership/shares.py
+++ b/src/greengageshunt/membership/shares.py
@@ -1,6 +1,6 @@
 """Shares of client accounts: which entry VM may use which part of a rate and burst.
 
-The share table is a row of the platform. ``docs/decisions/rates.md`` contains the
+The share table is a row of the platform. ``docs/decisions/0006-rates.md`` contains the
 argument for the rules of this module.
 """
 
--- a/src/greengageshunt/proxy/replication.py
+++ b/src/greengageshunt/proxy/replication.py
@@ -17,6 +17,10 @@
 # Seconds without a waiting commit after which the idle connection is checked.
 IDLE_CHECK_INTERVAL = 0.3
 
+# Checks without a commit after which the connection is closed, so that targets which
+# are no longer written keep it for others. The budget of connections counts on this.
+IDLE_CHECKS = 20
+
 
 class ReplicationWatch:
     """Waits at the primary, on one connection, on behalf of all its commits."""
@@ -58,6 +62,7 @@
 
     async def _watch(self) -> None:
         while True:
+            await self._commit_waits(None)
             try:
                 connection = await self._driver.connect(self._target)
                 try:
@@ -72,21 +77,25 @@
             await asyncio.sleep(RECONNECT_DELAY)
 
     async def _watch_connected(self, connection: Any) -> None:
-        while True:
-            if not await self._commit_waits():
+        """Report how far replicas are until no commit has waited for long."""
+        idle_checks = 0
+        while idle_checks < IDLE_CHECKS:
+            if not await self._commit_waits(IDLE_CHECK_INTERVAL):
                 await connection.status(self._app.clock())
+                idle_checks += 1
                 continue
+            idle_checks = 0
             async with asyncio.timeout(SILENCE_DEADLINE):
                 reached = await connection.wait_replicated(self._offset + 1, WATCH_TIMEOUT)
             async with self._changed:
                 self._offset = reached
                 self._changed.notify_all()
 
-    async def _commit_waits(self) -> bool:
-        """Wait until a commit waits, for the interval between idle checks."""
+    async def _commit_waits(self, timeout: float | None) -> bool:
+        """Wait until a commit waits, for a timeout in seconds if there is one."""
         async with self._changed:
             try:
-                async with asyncio.timeout(IDLE_CHECK_INTERVAL):
+                async with asyncio.timeout(timeout):
                     await self._changed.wait_for(lambda: self._waiting)
             except TimeoutError:
                 return False
