Split the target stand-in, and keep state private

Cause: reading as a newcomer, the target stand-in had 500 lines with three jobs, and its attributes, those of open transactions and of write attempts were public and written from other modules. Now sessions are a module of their own, open transactions too, and state changes through methods with names.

--- a/src/greengageshunt/metrics/collector.py
+++ b/src/greengageshunt/metrics/collector.py
@@ -27,12 +27,12 @@
         self._late: collections.Counter[tuple[str, ...]] = collections.Counter()
         self._changes: collections.Counter[tuple[str, ...]] = collections.Counter()
         self._terms: dict[str, int] = {}
-        self.request_seconds = latency.LatencySummary(
+        self._request_seconds = latency.LatencySummary(
             name=f"{PREFIX}_request_seconds",
             doc="Seconds from the receipt of a request to its answer.",
             label="kind",
         )
-        self.loop_lag = latency.LatencySummary(
+        self._loop_lag = latency.LatencySummary(
             name=f"{PREFIX}_loop_lag_seconds",
             doc="Seconds by which a timer of the event loop fired late.",
             label="program",
@@ -41,8 +41,8 @@
 
     def collect(self) -> abc.Iterator[metrics_core.Metric]:
         """Return all metrics."""
-        yield from self.request_seconds.collect()
-        yield from self.loop_lag.collect()
+        yield from self._request_seconds.collect()
+        yield from self._loop_lag.collect()
         yield _counter("requests", "Requests by result.", ("kind", "code"), self._requests)
         yield _counter(
             "admissions", "Admission decisions.", ("admitted", "reason"), self._admissions
@@ -54,6 +54,10 @@
         yield from self._invariants()
         yield from self._gauges()
 
+    def note_loop_lag(self, seconds: float) -> None:
+        """Record by how much a timer of the event loop fired late."""
+        self._loop_lag.record(self._app.name, seconds)
+
     def _subscribe(self) -> None:
         handlers = {
             "request-handled": self._note_request,
@@ -67,7 +71,7 @@
 
     def _note_request(self, report: reports.RequestReport) -> None:
         self._requests[(report.kind, report.code)] += 1
-        self.request_seconds.record(report.kind, report.seconds)
+        self._request_seconds.record(report.kind, report.seconds)
 
     def _note_admission(self, admitted: Any) -> None:
         self._admissions[(str(admitted.admitted).lower(), admitted.reason)] += 1
--- a/src/greengageshunt/metrics/page.py
+++ b/src/greengageshunt/metrics/page.py
@@ -63,7 +63,7 @@
         while True:
             due = self._app.clock() + LAG_INTERVAL
             await asyncio.sleep(LAG_INTERVAL)
-            self._collector.loop_lag.record(self._app.name, self._app.clock() - due)
+            self._collector.note_loop_lag(self._app.clock() - due)
 
 
 def setup(app: application.Application) -> None:
--- a/src/greengageshunt/programs/standin.py
+++ b/src/greengageshunt/programs/standin.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from greengageshunt import logs, model
-from greengageshunt.standins import platform, relay, replication, target
+from greengageshunt.standins import platform, relay, replication, session, target
 
 
 def _split(address: str) -> tuple[str, int]:
@@ -45,10 +45,10 @@
         standin = target.TargetStandin(
             name=arguments.name, store=store, limits=limits, password=arguments.password
         )
-        standin.faults = target.Faults(lag=arguments.lag_ms / 1000)
+        standin.set_faults(target.Faults(lag=arguments.lag_ms / 1000))
         await _serve_http(standin.control(), arguments.control)
         host, port = _split(arguments.address)
-        await asyncio.start_server(lambda r, w: target.serve_client(standin, r, w), host, port)
+        await asyncio.start_server(lambda r, w: session.serve_client(standin, r, w), host, port)
         host, port = _split(arguments.replication)
         await asyncio.start_server(
             lambda r, w: replication.serve_replica(standin, r, w), host, port, limit=2**24
--- a/src/greengageshunt/proxy/transactions.py
+++ b/src/greengageshunt/proxy/transactions.py
@@ -13,7 +13,7 @@
 from greengageshunt import application, config, errors, logs, model
 from greengageshunt.peers import messages
 from greengageshunt.proxy import connection as connection_module
-from greengageshunt.proxy import owner, rejection
+from greengageshunt.proxy import open_transaction, owner, rejection
 from greengageshunt.requests import ledger
 from greengageshunt.scheduling import entry as entry_module
 from greengageshunt.scheduling import gate as gate_module
@@ -33,33 +33,6 @@
 ROLLBACK_TIMEOUT = 1.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, eq=False)
-class Command:
-    """One request for an open transaction.
-
-    Attributes:
-        run: Coroutine function that takes the lease of the connection.
-        ends: Whether the transaction has ended afterwards, whatever the result.
-        future: Receives the result.
-    """
-
-    run: abc.Callable[[connection_module.Lease], abc.Awaitable[Any]]
-    ends: bool
-    future: asyncio.Future[Any]
-
-
-class OpenTransaction:
-    """State of one open transaction."""
-
-    def __init__(self, *, begin: messages.TransactionBegin, number: str) -> None:
-        self.begin = begin
-        self.number = number
-        self.commands: asyncio.Queue[Command] = asyncio.Queue()
-        self.connection: Any = None
-        self.has_written = False
-        self.commit_sent = False
-
-
 class TransactionKeeper:
     """Holds the open transactions of the owned primaries."""
 
@@ -69,7 +42,7 @@
         self._invariants = app.part("invariants", "default")
         self._idle_limit = app.settings["transactions.idle_limit"]
         self._total_limit = app.settings["transactions.total_limit"]
-        self._open: dict[str, OpenTransaction] = {}
+        self._open: dict[str, open_transaction.OpenTransaction] = {}
         self._ended: collections.OrderedDict[str, str] = collections.OrderedDict()
         self._tasks: set[asyncio.Task[None]] = set()
         server = app.part("peers", "server")
@@ -111,7 +84,7 @@
                 "transactions_full", f"{held} of {limit} transactions are open", message.target
             )
         number = secrets.token_hex(_NUMBER_BYTES)
-        opened = OpenTransaction(begin=message, number=number)
+        opened = open_transaction.OpenTransaction(begin=message, number=number)
         self._open[number] = opened
         ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         task = asyncio.create_task(self._hold(opened, owned, ready), name=f"transaction {number}")
@@ -141,7 +114,7 @@
                         "the statement waited longer than the check of its key holds",
                         target.name,
                     )
-                opened.has_written = opened.has_written or message.work.write
+                opened.note_statement(write=message.work.write)
                 return await self._statement(opened, lease, entry.deadline, message.work)
 
         answer = await self._submit(opened, run, ends=False)
@@ -175,7 +148,7 @@
         )
         return owner.executed(answer, grant - received_at, message.trace)
 
-    def _find(self, number: str, account: str) -> OpenTransaction:
+    def _find(self, number: str, account: str) -> open_transaction.OpenTransaction:
         opened = self._open.get(number)
         if opened is not None and opened.begin.account == account:
             return opened
@@ -191,18 +164,18 @@
 
     async def _submit(
         self,
-        opened: OpenTransaction,
+        opened: open_transaction.OpenTransaction,
         run: abc.Callable[[connection_module.Lease], abc.Awaitable[Any]],
         *,
         ends: bool,
     ) -> Any:
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
-        await opened.commands.put(Command(run=run, ends=ends, future=future))
+        opened.put(open_transaction.Command(run=run, ends=ends, future=future))
         return await future
 
     async def _hold(
         self,
-        opened: OpenTransaction,
+        opened: open_transaction.OpenTransaction,
         owned: owner.OwnedTarget,
         ready: asyncio.Future[None],
     ) -> None:
@@ -233,30 +206,35 @@
             owned.pool.remove_user()
 
     async def _serve(
-        self, opened: OpenTransaction, lease: connection_module.Lease, total_end: float
+        self,
+        opened: open_transaction.OpenTransaction,
+        lease: connection_module.Lease,
+        total_end: float,
     ) -> str:
         """Run commands until one ends the transaction; return how it ended."""
         while True:
             remaining = total_end - self._app.clock()
             try:
                 async with asyncio.timeout(max(0.0, min(self._idle_limit, remaining))):
-                    command = await opened.commands.get()
+                    command = await opened.next_command()
             except TimeoutError:
                 return "rolled back: its time limit passed"
             end = await self._run_command(command, lease)
             if end:
                 return end
 
-    async def _run_command(self, command: Command, lease: connection_module.Lease) -> str:
+    async def _run_command(
+        self, command: open_transaction.Command, lease: connection_module.Lease
+    ) -> str:
         """Run one command; return how it ended the transaction, or an empty string."""
         try:
             value = await command.run(lease)
         except errors.RefusedError as error:
             # Most often the deadline passed in the queue; the transaction is as before.
-            _fail(command, error)
+            command.fail(error)
             return f"ended: {error}" if command.ends else ""
         except errors.TargetError as error:
-            _fail(command, rejection.of_target_error(error, commit_sent=False))
+            command.fail(rejection.of_target_error(error, commit_sent=False))
             return f"rolled back: {error}"
         if not command.future.done():
             command.future.set_result(value)
@@ -265,7 +243,7 @@
     async def _enter_slot(
         self,
         stack: contextlib.AsyncExitStack,
-        opened: OpenTransaction,
+        opened: open_transaction.OpenTransaction,
         gate: gate_module.SlotGate,
         entry: entry_module.Entry,
     ) -> None:
@@ -283,23 +261,25 @@
                 gate.slot(dataclasses.replace(entry, deadline=deadline))
             )
 
-    async def _begin(self, opened: OpenTransaction, lease: connection_module.Lease) -> None:
+    async def _begin(
+        self, opened: open_transaction.OpenTransaction, lease: connection_module.Lease
+    ) -> None:
         async def job(connection: Any) -> None:
-            opened.connection = connection
+            opened.bind(connection)
             await connection.run("begin", "BEGIN")
 
         await lease.connection.submit(job, lease, self._app.clock() + opened.begin.timeout)
 
-    def _check_connection(self, opened: OpenTransaction, connection: Any) -> None:
+    def _check_connection(self, opened: open_transaction.OpenTransaction, connection: Any) -> None:
         self._invariants.check(
             "transaction-on-one-connection",
-            connection is opened.connection,
+            opened.is_bound_to(connection),
             transaction=opened.number,
         )
 
     async def _statement(
         self,
-        opened: OpenTransaction,
+        opened: open_transaction.OpenTransaction,
         lease: connection_module.Lease,
         deadline: float,
         work: model.Work,
@@ -325,7 +305,7 @@
 
     async def _commit(
         self,
-        opened: OpenTransaction,
+        opened: open_transaction.OpenTransaction,
         lease: connection_module.Lease,
         work: model.Work,
         deadline: float,
@@ -340,17 +320,13 @@
             return await lease.connection.submit(job, lease, deadline)
         except errors.TargetError as error:
             raise rejection.of_target_error(error, commit_sent=attempt.commit_sent) from error
-        finally:
-            opened.commit_sent = attempt.commit_sent
 
-    def _close(self, opened: OpenTransaction, end: str) -> None:
+    def _close(self, opened: open_transaction.OpenTransaction, end: str) -> None:
         del self._open[opened.number]
         self._ended[opened.number] = end
         if len(self._ended) > ENDED_KEPT:
             self._ended.popitem(last=False)
-        while not opened.commands.empty():
-            error = rejection.not_run("transaction_ended", end, opened.begin.target)
-            _fail(opened.commands.get_nowait(), error)
+        opened.fail_waiting(rejection.not_run("transaction_ended", end, opened.begin.target))
         logs.log_decision(
             logger,
             "end-transaction",
@@ -361,11 +337,6 @@
         )
 
 
-def _fail(command: Command, error: Exception) -> None:
-    if not command.future.done():
-        command.future.set_exception(error)
-
-
 def setup(app: application.Application) -> None:
     """Register the open transactions."""
     app.add_setting(
--- a/src/greengageshunt/requests/ledger.py
+++ b/src/greengageshunt/requests/ledger.py
@@ -45,8 +45,30 @@
     """How far one run of a write came; read when its connection is lost."""
 
     def __init__(self) -> None:
-        self.commit_sent = False
-        self.committed = False
+        self._commit_sent = False
+        self._committed = False
+
+    @property
+    def commit_sent(self) -> bool:
+        """Whether the transaction may have committed."""
+        return self._commit_sent
+
+    @property
+    def committed(self) -> bool:
+        """Whether the target confirmed the commit."""
+        return self._committed
+
+    def send_commit(self) -> None:
+        """Record that the commit is about to be sent."""
+        self._commit_sent = True
+
+    def reject_commit(self) -> None:
+        """Record that the target rejected the commit."""
+        self._commit_sent = False
+
+    def confirm_commit(self) -> None:
+        """Record that the target confirmed the commit."""
+        self._committed = True
 
 
 def fingerprint(route: str, parameters: abc.Mapping[str, model.Value]) -> str:
@@ -174,7 +196,7 @@
     Raises:
         TargetError: As for ``write``.
     """
-    attempt.commit_sent = True
+    attempt.send_commit()
     try:
         status = await connection.commit(now)
     except errors.TargetError as error:
@@ -185,9 +207,9 @@
             raise
         status, found = await connection.run_after_status("look-up", _LOOK_UP, _key(work), now)
         if not found.rows:
-            attempt.commit_sent = False
+            attempt.reject_commit()
             raise
-    attempt.committed = True
+    attempt.confirm_commit()
     return status
 
 
--- a/src/greengageshunt/standins/replication.py
+++ b/src/greengageshunt/standins/replication.py
@@ -131,7 +131,7 @@
             received_at, entry = await entries.get()
             due = received_at + self._target.faults.lag
             await asyncio.sleep(max(0.0, due - time.monotonic()))
-            await self._target.not_stalled.wait()
+            await self._target.wait_not_stalled()
             # A raised term ends the copying of older terms before they are acknowledged.
             if term < self._target.term:
                 raise ConnectionAbortedError("a higher term was accepted")
@@ -200,7 +200,7 @@
             applied = (await _read_line(reader))["applied"]
             if not _serves(target, term):
                 return
-            target.replicas[key] = applied
+            target.acknowledge(key, applied)
             await target.notify_log()
     finally:
-        target.replicas.pop(key, None)
+        target.forget_replica(key)
--- /dev/null
+++ b/src/greengageshunt/standins/session.py
@@ -0,0 +1,260 @@
+"""Sessions of a target stand-in: statements and transactions of one connection."""
+
+import asyncio
+import logging
+import re
+import sqlite3
+from typing import Any
+
+from greengageshunt.standins import storage, wire
+from greengageshunt.standins import target as target_module
+
+logger = logging.getLogger(__name__)
+
+LOCK_TIMEOUT = 5.0  # seconds that a transaction waits for the writer's lock
+
+_CALL = re.compile(r"SELECT \* FROM (ggs_\w+)\((.*)\)\s*$", re.IGNORECASE | re.DOTALL)
+_ARGUMENT = re.compile(r"'((?:[^']|'')*)'|(-?\d+)")
+_READ_VERBS = ("SELECT", "WITH", "VALUES", "EXPLAIN")
+
+
+def split_statements(text: str) -> list[str]:
+    """Split a simple query at the semicolons outside of literals."""
+    statements = []
+    pending = ""
+    for part in text.split(";"):
+        pending += part
+        if sqlite3.complete_statement(pending + ";"):
+            statements.append(pending.strip())
+            pending = ""
+        else:
+            pending += ";"
+    return [statement for statement in [*statements, pending.strip("; \n")] if statement]
+
+
+def parse_call(statement: str) -> tuple[str, list[Any]] | None:
+    """Return the name and the arguments of a call of a target function, or None."""
+    match = _CALL.match(statement)
+    if match is None:
+        return None
+    arguments = [
+        int(number) if number else text.replace("''", "'")
+        for text, number in _ARGUMENT.findall(match.group(2))
+    ]
+    return match.group(1).lower(), arguments
+
+
+class Session:
+    """One connection of a client."""
+
+    def __init__(self, *, target: target_module.TargetStandin) -> None:
+        self._target = target
+        self._connection = target.store.connect()
+        self._in_transaction = False
+        self._failed = False
+        self._holds_lock = False
+        self._written: list[str] = []
+        self._aborted = False
+        target.add_session(self)
+
+    @property
+    def in_transaction(self) -> bool:
+        """Whether a transaction is open."""
+        return self._in_transaction
+
+    async def execute(self, statement: str) -> wire.ResultSet:
+        """Run one statement of a simple query.
+
+        Raises:
+            StatementError: The statement failed.
+        """
+        call = parse_call(statement)
+        if call is not None:
+            return await self._target.call(*call)
+        await self._target.wait_not_stalled()
+        self._target.count_statement(statement)
+        verb = statement.split(None, 1)[0].upper()
+        if verb == "BEGIN":
+            return self._begin()
+        if verb == "COMMIT":
+            return await self._commit()
+        if verb == "ROLLBACK":
+            self.roll_back()
+            return wire.ResultSet(columns=(), rows=(), tag="ROLLBACK")
+        if self._aborted:
+            raise _not_primary()
+        if self._failed:
+            raise wire.StatementError("25P02", "current transaction is aborted")
+        if verb not in _READ_VERBS:
+            # A statement that waits for a lock occupies no slot; otherwise the
+            # holder of the lock could wait for a slot of those that wait for it.
+            self._check_writable()
+            await self._take_lock()
+        async with self._target.slots:
+            # Bookkeeping by key is far cheaper than the callers' statements.
+            if "ggs_requests" not in statement:
+                await asyncio.sleep(self._target.limits.service_time)
+            await self._target.wait_not_stalled()
+            if verb in _READ_VERBS:
+                return storage.run(self._connection, statement)
+            return await self._write(statement)
+
+    def fail(self) -> None:
+        """Mark the open transaction as aborted."""
+        if self._in_transaction:
+            self._failed = True
+
+    def abort_write(self) -> None:
+        """Undo an open transaction that has written, because the target is fenced."""
+        if not self._holds_lock:
+            return
+        if self._connection.in_transaction:
+            self._connection.execute("ROLLBACK")
+        self._written = []
+        self._aborted = True
+        self._release_lock()
+
+    def roll_back(self) -> None:
+        """Undo the open transaction, if any."""
+        if self._connection.in_transaction:
+            self._connection.execute("ROLLBACK")
+        self._end()
+
+    def close(self) -> None:
+        """End the session."""
+        self._target.remove_session(self)
+        self.roll_back()
+        self._connection.close()
+
+    def _begin(self) -> wire.ResultSet:
+        self._connection.execute("BEGIN")
+        self._in_transaction = True
+        return wire.ResultSet(columns=(), rows=(), tag="BEGIN")
+
+    async def _write(self, statement: str) -> wire.ResultSet:
+        self._check_writable()
+        single = not self._in_transaction
+        if single:
+            self._begin()
+        try:
+            result = storage.run(self._connection, statement)
+        except wire.StatementError:
+            if single:
+                self.roll_back()
+            raise
+        self._written.append(statement)
+        if single:
+            await self._commit()
+        return result
+
+    async def _take_lock(self) -> None:
+        if self._holds_lock:
+            return
+        try:
+            await asyncio.wait_for(self._target.write_lock.acquire(), LOCK_TIMEOUT)
+        except TimeoutError:
+            raise wire.StatementError("55P03", "lock not available") from None
+        self._holds_lock = True
+
+    async def _commit(self) -> wire.ResultSet:
+        if self._aborted:
+            self.roll_back()
+            raise _not_primary()
+        if self._failed or not self._written:
+            self.roll_back()
+            return wire.ResultSet(columns=(), rows=(), tag="COMMIT")
+        try:
+            self._check_writable()
+            self._target.store.append(self._connection, self._target.term, self._written)
+        except sqlite3.Error as error:
+            self.roll_back()
+            raise storage.translate_error(error) from error
+        except wire.StatementError:
+            self.roll_back()
+            raise
+        self._end()
+        await self._target.notify_log()
+        if self._target.take_dropped_answer():
+            raise ConnectionResetError("answer dropped by a fault")
+        return wire.ResultSet(columns=(), rows=(), tag="COMMIT")
+
+    def _check_writable(self) -> None:
+        if not self._target.writable:
+            raise _not_primary()
+
+    def _end(self) -> None:
+        self._in_transaction = False
+        self._failed = False
+        self._aborted = False
+        self._written = []
+        self._release_lock()
+
+    def _release_lock(self) -> None:
+        if self._holds_lock:
+            self._target.write_lock.release()
+            self._holds_lock = False
+
+
+def _not_primary() -> wire.StatementError:
+    return wire.StatementError("25006", "this target is not the primary of its term")
+
+
+async def _answer_query(session: Session, text: str, writer: asyncio.StreamWriter) -> None:
+    try:
+        for statement in split_statements(wire.plain_literals(text)):
+            writer.write(wire.result(await session.execute(statement)))
+    except wire.StatementError as error:
+        session.fail()
+        writer.write(wire.error(error.code, str(error)))
+    writer.write(wire.ready(session.in_transaction))
+    await writer.drain()
+
+
+async def _serve_queries(
+    target: target_module.TargetStandin, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    session = Session(target=target)
+    try:
+        while True:
+            kind, payload = await wire.read_message(reader)
+            if kind == b"X":
+                return
+            if kind != b"Q":
+                writer.write(wire.error("0A000", f"message {kind!r} is not supported"))
+                writer.write(wire.ready(session.in_transaction))
+                continue
+            await _answer_query(session, payload[:-1].decode(), writer)
+    finally:
+        session.close()
+
+
+async def serve_client(
+    target: target_module.TargetStandin, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    """Serve one connection of a client, from startup to its end."""
+    try:
+        with target.connection() as within_limit:
+            await _serve_connection(target, reader, writer, within_limit)
+    except (ConnectionError, asyncio.IncompleteReadError):
+        logger.debug("client closed its connection", extra={"target": target.name})
+    finally:
+        writer.close()
+
+
+async def _serve_connection(
+    target: target_module.TargetStandin,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    within_limit: bool,
+) -> None:
+    if await wire.read_startup(reader, writer) is None:
+        return
+    if not within_limit:
+        writer.write(wire.error("53300", "too many connections"))
+        return
+    if not target.accepts(await wire.ask_password(reader, writer)):
+        writer.write(wire.error("28P01", "password authentication failed"))
+        return
+    await asyncio.sleep(target.limits.connect_time)
+    writer.write(wire.greeting())
+    await _serve_queries(target, reader, writer)
--- a/tests/test_drivers/test_connect.py
+++ b/tests/test_drivers/test_connect.py
@@ -7,7 +7,7 @@
 
 from greengageshunt import model
 from greengageshunt.drivers import postgresql
-from greengageshunt.standins import fleet, target
+from greengageshunt.standins import fleet, session, target
 
 
 async def _reach(standin: target.TargetStandin, connections: int) -> None:
@@ -36,7 +36,7 @@
         password="system",
     )
     server = await asyncio.start_server(
-        lambda reader, writer: target.serve_client(standin, reader, writer), "127.0.0.1", port
+        lambda reader, writer: session.serve_client(standin, reader, writer), "127.0.0.1", port
     )
     address = f"127.0.0.1:{port}"
     described = model.Target(
