Do not take peers for dead after a pause of the own process

Cause: a process that was paused or overloaded for more than 0.75 s took all peers for dead, since their answers were not read, and opened pools to their targets. Peers that answered before the pause now get their deadline again, for at most 3 s since their last answer.

--- a/src/greengageshunt/membership/view.py
+++ b/src/greengageshunt/membership/view.py
@@ -6,6 +6,10 @@
 # Seconds without an answer after which a peer counts as dead.
 PEER_DEADLINE = 0.75
 
+# Seconds since a peer's last answer after which pauses of the own process no longer
+# excuse its silence; otherwise a VM under constant load would never notice a death.
+LONGEST_EXCUSE = 3.0
+
 
 class MemberView:
     """Knows the listed entry VMs and when each peer last answered."""
@@ -17,6 +21,7 @@
         self._clock = clock
         self._members: dict[str, model.Member] = {me.vm: me}
         self._last_answer: dict[str, float] = {}
+        self._excused_at: dict[str, float] = {}
         self._leaving: set[str] = set()
         self._listed = False
 
@@ -76,6 +81,21 @@
         self._last_answer[vm] = now
         self.mark_leaving(vm, leaving)
 
+    def excuse_silence(self, paused_at: float, now: float) -> None:
+        """Give peers their deadline again after the own process was paused.
+
+        Their answers of that time were not read, so their silence says nothing.
+        Without this, a paused or overloaded entry VM takes all peers for dead and
+        opens pools to their targets.
+
+        Args:
+            paused_at: Monotonic seconds at which the pause began at the latest.
+            now: Monotonic seconds at which it ended.
+        """
+        for vm, answered_at in self._last_answer.items():
+            if self.answers(vm, paused_at) and now - answered_at <= LONGEST_EXCUSE:
+                self._excused_at[vm] = now
+
     def mark_leaving(self, vm: str, leaving: bool) -> None:
         """Record whether a member takes no new work."""
         if leaving:
@@ -87,7 +107,9 @@
         """Return whether a member answered within the deadline."""
         if vm == self._me.vm:
             return True
-        return now - self._last_answer.get(vm, float("-inf")) <= PEER_DEADLINE
+        never = float("-inf")
+        heard_at = max(self._last_answer.get(vm, never), self._excused_at.get(vm, never))
+        return now - heard_at <= PEER_DEADLINE
 
     def live(self, now: float) -> tuple[model.Member, ...]:
         """Return the members that answer and are not leaving."""
--- a/src/greengageshunt/peers/links.py
+++ b/src/greengageshunt/peers/links.py
@@ -12,6 +12,9 @@
 
 RECONCILE_INTERVAL = 0.2  # seconds
 
+# Seconds between reconciliations after which this process counts as having been paused.
+PAUSE_LIMIT = 0.4
+
 # Returns the value that a plug-in adds to each heartbeat's answer.
 ExtraSource = abc.Callable[[], Any]
 
@@ -69,8 +72,14 @@
 
     async def run(self) -> None:
         """Keep one task for each peer until cancelled."""
+        reconciled_at = self._app.clock()
         try:
             while True:
+                now = self._app.clock()
+                if now - reconciled_at > PAUSE_LIMIT:
+                    logger.warning("process was paused", extra={"seconds": now - reconciled_at})
+                    self._view.excuse_silence(reconciled_at, now)
+                reconciled_at = now
                 self._reconcile()
                 await asyncio.sleep(RECONCILE_INTERVAL)
         finally:
