Let targets end idle transactions of a paused owner

Cause: an owner that is paused between the claim of a request id and the commit keeps its locks at the target. The log of the next owner showed four statements without an answer and a valid grant. Now connections set idle_in_transaction_session_timeout to 0.75 s, and a caller's transaction sets its own idle limit plus 1 s. The stand-in implements the setting.

--- a/src/greengageshunt/drivers/postgresql.py
+++ b/src/greengageshunt/drivers/postgresql.py
@@ -18,6 +18,10 @@
 # Bound of an attempt whose caller gave up; two seconds is the least that psycopg accepts.
 ABANDONED_TIMEOUT = 2  # seconds
 
+# Seconds after which a target ends an idle transaction. A paused owner would else keep
+# its locks, and the next owner's writes would wait for them.
+IDLE_IN_TRANSACTION_LIMIT = 0.75
+
 # SQLSTATE class "data exception", for values that were rejected before the sending.
 CLIENT_SIDE_REJECTION = "22000"
 
@@ -146,6 +150,17 @@
         status, statement = await self.run(step, f"{_STATUS}; {sql}", parameters)
         return read_status(self._target.name, status, 0, now), statement
 
+    async def begin(self, idle_limit: float) -> None:
+        """Begin a transaction.
+
+        Args:
+            idle_limit: Seconds without a statement after which the target ends it.
+
+        Raises:
+            TargetError: The target did not begin, or the connection failed.
+        """
+        await self.run("begin", f"BEGIN; SET LOCAL {_idle_setting(idle_limit)}")
+
     async def commit(self, now: float) -> model.TargetStatus:
         """Commit the open transaction and read the status, in one round trip.
 
@@ -246,6 +261,10 @@
     )
 
 
+def _idle_setting(seconds: float) -> str:
+    return f"idle_in_transaction_session_timeout={round(seconds * 1000)}"
+
+
 async def _open(**parameters: Any) -> psycopg.AsyncConnection[Any]:
     """Open a connection within the timeout.
 
@@ -294,6 +313,7 @@
                 autocommit=True,
                 cursor_factory=psycopg.AsyncClientCursor,
                 connect_timeout=ABANDONED_TIMEOUT,
+                options=f"-c {_idle_setting(IDLE_IN_TRANSACTION_LIMIT)}",
             )
         except (psycopg.Error, OSError, TimeoutError) as error:
             raise errors.TargetError(
--- a/src/greengageshunt/proxy/rejection.py
+++ b/src/greengageshunt/proxy/rejection.py
@@ -9,6 +9,9 @@
 # deadlock, lock not available.
 _CONFLICTS = frozenset({"40001", "40P01", "55P03"})
 
+# SQLSTATE of a session that the target ended because its transaction was idle.
+IDLE_IN_TRANSACTION = "25P03"
+
 # SQLSTATE classes of a target that is going away: connection exception,
 # insufficient resources, operator intervention.
 _LOST_CLASSES = frozenset({"08", "53", "57"})
@@ -35,7 +38,7 @@
         return "not_primary"
     if sqlstate in _CONFLICTS:
         return "conflict"
-    if not sqlstate or sqlstate[:2] in _LOST_CLASSES:
+    if not sqlstate or sqlstate == IDLE_IN_TRANSACTION or sqlstate[:2] in _LOST_CLASSES:
         return "target_lost"
     return "statement_rejected"
 
--- a/src/greengageshunt/proxy/transactions.py
+++ b/src/greengageshunt/proxy/transactions.py
@@ -29,6 +29,9 @@
 # slots may wait for its locks, which only its own next statements can release.
 SLOT_WAIT = 0.25
 
+# Seconds by which the target's idle limit exceeds the owner's own.
+IDLE_MARGIN = 1.0
+
 # Seconds for a statement that ends a transaction on behalf of nobody.
 ROLLBACK_TIMEOUT = 1.0
 
@@ -266,7 +269,7 @@
     ) -> None:
         async def job(connection: Any) -> None:
             opened.bind(connection)
-            await connection.run("begin", "BEGIN")
+            await connection.begin(self._idle_limit + IDLE_MARGIN)
 
         await lease.connection.submit(job, lease, self._app.clock() + opened.begin.timeout)
 
--- a/src/greengageshunt/standins/session.py
+++ b/src/greengageshunt/standins/session.py
@@ -15,6 +15,8 @@
 
 _CALL = re.compile(r"SELECT \* FROM (ggs_\w+)\((.*)\)\s*$", re.IGNORECASE | re.DOTALL)
 _ARGUMENT = re.compile(r"'((?:[^']|'')*)'|(-?\d+)")
+_IDLE_SETTING = re.compile(r"idle_in_transaction_session_timeout\s*=\s*(\d+)")
+_TRANSACTION_VERBS = ("BEGIN", "COMMIT", "ROLLBACK", "SET")
 _READ_VERBS = ("SELECT", "WITH", "VALUES", "EXPLAIN")
 
 
@@ -44,11 +46,21 @@
     return match.group(1).lower(), arguments
 
 
+def idle_limit(text: str) -> float | None:
+    """Return the seconds of an idle limit that a text sets, or None."""
+    match = _IDLE_SETTING.search(text)
+    return int(match.group(1)) / 1000 if match else None
+
+
 class Session:
     """One connection of a client."""
 
-    def __init__(self, *, target: target_module.TargetStandin) -> None:
+    def __init__(
+        self, *, target: target_module.TargetStandin, idle_limit: float | None = None
+    ) -> None:
         self._target = target
+        self._session_idle_limit = idle_limit
+        self._transaction_idle_limit = idle_limit
         self._connection = target.store.connect()
         self._in_transaction = False
         self._failed = False
@@ -62,6 +74,11 @@
         """Whether a transaction is open."""
         return self._in_transaction
 
+    @property
+    def idle_limit(self) -> float | None:
+        """Seconds without a statement after which the session ends, or None."""
+        return self._transaction_idle_limit if self._in_transaction else None
+
     async def execute(self, statement: str) -> wire.ResultSet:
         """Run one statement of a simple query.
 
@@ -74,13 +91,8 @@
         await self._target.wait_not_stalled()
         self._target.count_statement(statement)
         verb = statement.split(None, 1)[0].upper()
-        if verb == "BEGIN":
-            return self._begin()
-        if verb == "COMMIT":
-            return await self._commit()
-        if verb == "ROLLBACK":
-            self.roll_back()
-            return wire.ResultSet(columns=(), rows=(), tag="ROLLBACK")
+        if verb in _TRANSACTION_VERBS:
+            return await self._control(verb, statement)
         if self._aborted:
             raise _not_primary()
         if self._failed:
@@ -131,6 +143,23 @@
         self._in_transaction = True
         return wire.ResultSet(columns=(), rows=(), tag="BEGIN")
 
+    async def _control(self, verb: str, statement: str) -> wire.ResultSet:
+        if verb == "BEGIN":
+            return self._begin()
+        if verb == "COMMIT":
+            return await self._commit()
+        if verb == "SET":
+            return self._set_local(statement)
+        self.roll_back()
+        return wire.ResultSet(columns=(), rows=(), tag="ROLLBACK")
+
+    def _set_local(self, statement: str) -> wire.ResultSet:
+        limit = idle_limit(statement)
+        if limit is None:
+            raise wire.StatementError("0A000", f"{statement!r} is not supported")
+        self._transaction_idle_limit = limit
+        return wire.ResultSet(columns=(), rows=(), tag="SET")
+
     async def _write(self, statement: str) -> wire.ResultSet:
         self._check_writable()
         single = not self._in_transaction
@@ -183,6 +212,7 @@
             raise _not_primary()
 
     def _end(self) -> None:
+        self._transaction_idle_limit = self._session_idle_limit
         self._in_transaction = False
         self._failed = False
         self._aborted = False
@@ -211,12 +241,20 @@
 
 
 async def _serve_queries(
-    target: target_module.TargetStandin, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    target: target_module.TargetStandin,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    options: str,
 ) -> None:
-    session = Session(target=target)
+    session = Session(target=target, idle_limit=idle_limit(options))
     try:
         while True:
-            kind, payload = await wire.read_message(reader)
+            try:
+                async with asyncio.timeout(session.idle_limit):
+                    kind, payload = await wire.read_message(reader)
+            except TimeoutError:
+                writer.write(wire.error("25P03", "the transaction was idle for too long"))
+                return
             if kind == b"X":
                 return
             if kind != b"Q":
@@ -247,7 +285,8 @@
     writer: asyncio.StreamWriter,
     within_limit: bool,
 ) -> None:
-    if await wire.read_startup(reader, writer) is None:
+    parameters = await wire.read_startup(reader, writer)
+    if parameters is None:
         return
     if not within_limit:
         writer.write(wire.error("53300", "too many connections"))
@@ -257,4 +296,4 @@
         return
     await asyncio.sleep(target.limits.connect_time)
     writer.write(wire.greeting())
-    await _serve_queries(target, reader, writer)
+    await _serve_queries(target, reader, writer, parameters.get("options", ""))
