--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -15,6 +15,7 @@
 from greengageshunt.standins import fleet, layout
 
 SHEET = pathlib.Path(__file__).parent.parent / "examples" / "ppgm-sheet.csv"
+SERVICE = "order-desk"  # service of the groups that the sheet names
 ACCOUNT = "bintang-glue"
 REQUESTS = 40  # rounds of one booking, one member update and three reads
 ROUTES = (
@@ -88,11 +89,16 @@
     print("Each read saw all earlier writes of its session, through every proxy.")
 
 
+def _profiles() -> list[str]:
+    """Return the profiles that have the groups of the demo's sheet."""
+    return sorted(name for name, profile in layout.PROFILES.items() if profile.service == SERVICE)
+
+
 async def main() -> None:
     """Run the demo."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument(
-        "--profile", choices=sorted(layout.PROFILES), default="small", help="sizes of the fleet"
+        "--profile", choices=_profiles(), default="small", help="sizes of the fleet"
     )
     profile = layout.PROFILES[parser.parse_args().profile]
     base_port = fleet.free_base_port(layout.ports_needed(profile))
