Remove functions that nothing calls

Found in the last read of the whole change: link_to, in_progress, open_count, wait_serving and detach have no caller in the code, tests or scripts. Kept: a logger per module, which is the house style, and select, which overrides the event loop's selector. Formatter and linter are clean; 52 tests of kernel, path, peer link and share scenarios pass in 19 s.

--- a/src/greengageshunt/peers/links.py
+++ b/src/greengageshunt/peers/links.py
@@ -49,10 +49,6 @@
         self._sources[name] = source
         self._sinks[name] = sink
 
-    def link_to(self, vm: str) -> link.PeerLink | None:
-        """Return the link to a peer, or None."""
-        return self._links.get(vm)
-
     @property
     def open_connections(self) -> int:
         """Number of open links."""
--- a/src/greengageshunt/proxy/service.py
+++ b/src/greengageshunt/proxy/service.py
@@ -59,11 +59,6 @@
         self._idle = asyncio.Event()
         self._idle.set()
 
-    @property
-    def in_progress(self) -> int:
-        """Number of requests that are being handled."""
-        return self._in_progress
-
     @property
     def ready(self) -> bool:
         """Whether the configuration, its groups and the own shares of rates are in force."""
--- a/src/greengageshunt/proxy/transactions.py
+++ b/src/greengageshunt/proxy/transactions.py
@@ -52,11 +52,6 @@
         server.add_handler(messages.TransactionBegin, self.begin)
         server.add_handler(messages.TransactionEnd, self.end)
 
-    @property
-    def open_count(self) -> int:
-        """Number of open transactions."""
-        return len(self._open)
-
     async def run(self) -> None:
         """Hold open transactions until cancelled."""
         try:
--- a/src/greengageshunt/standins/fleet.py
+++ b/src/greengageshunt/standins/fleet.py
@@ -188,10 +188,6 @@
         path.write_text(layout_module.failover_settings(self._layout, vm, self._strict))
         self._start(name, "failover", ["--settings", str(path)])
 
-    async def wait_serving(self, vm: layout_module.EntryVm) -> None:
-        """Wait until a proxy answers and has a configuration and all groups."""
-        await self._wait_http(f"http://{vm.http_address}/readyz")
-
     async def set_target_faults(self, target: str, **faults: Any) -> None:
         """Set faults of a target stand-in."""
         url = f"http://{self._layout.control_addresses[target]}/control/faults"
--- a/src/greengageshunt/standins/memory.py
+++ b/src/greengageshunt/standins/memory.py
@@ -118,10 +118,6 @@
         """Let a VM receive messages."""
         self._servers[vm] = server
 
-    def detach(self, vm: str) -> None:
-        """Let all messages to a VM get lost."""
-        self._servers.pop(vm, None)
-
     async def carry(self, sender: str, receiver: str) -> "MemoryServer":
         """Wait while a message travels, and return the receiving server.
 
