--- a/scripts/measure_failover.py
+++ b/scripts/measure_failover.py
@@ -22,8 +22,8 @@
 
 from greengageshunt import codec, model
 from greengageshunt.configuration import keys
-from greengageshunt.platforms import http, polling
 from greengageshunt.standins import fleet, layout
+from greengageshunt.stores import http, polling
 
 GROUP = "order-desk-1"
 WRITERS = 4
--- a/src/greengageshunt/commands/group.py
+++ b/src/greengageshunt/commands/group.py
@@ -12,7 +12,7 @@
 from greengageshunt import application, codec, errors, model
 from greengageshunt.commands import command, vms
 from greengageshunt.configuration import status
-from greengageshunt.platforms import polling, writes
+from greengageshunt.stores import polling, writes
 
 EDIT_ATTEMPTS = 5
 
--- a/src/greengageshunt/configuration/pointer.py
+++ b/src/greengageshunt/configuration/pointer.py
@@ -14,7 +14,7 @@
 from returns import result
 
 from greengageshunt import codec, errors, model
-from greengageshunt.platforms import writes
+from greengageshunt.stores import writes
 
 CONFIGURATION_ROW = "configuration/current"
 
--- a/src/greengageshunt/failover/rows.py
+++ b/src/greengageshunt/failover/rows.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from greengageshunt import codec, errors, logs, model
-from greengageshunt.platforms import http, polling
+from greengageshunt.stores import polling, rows
 
 logger = logging.getLogger(__name__)
 
@@ -43,7 +43,7 @@
         if stored.intent and stored.intent.term >= intent.term and stored.intent != intent:
             return stored
         wanted = codec.to_plain(stored.changed(intent=intent))
-        if isinstance(await platform.put_row(row.key, wanted, row.etag), http.Row):
+        if isinstance(await platform.put_row(row.key, wanted, row.etag), rows.Row):
             return None
 
 
@@ -67,7 +67,7 @@
     row = await platform.get_row(_key(record.group))
     if row is None:
         answer = await platform.put_row(_key(record.group), codec.to_plain(record), None)
-        return isinstance(answer, http.Row)
+        return isinstance(answer, rows.Row)
     stored = codec.from_plain(row.value, model.GroupRecord)
     if stored.term >= record.term:
         logs.log_decision(
--- a/src/greengageshunt/failover/watch.py
+++ b/src/greengageshunt/failover/watch.py
@@ -11,7 +11,7 @@
 from greengageshunt.failover import announcement, detection, promotion, rows, targets
 from greengageshunt.groups import decide, monitor
 from greengageshunt.membership import ownership
-from greengageshunt.platforms import polling
+from greengageshunt.stores import polling
 
 logger = logging.getLogger(__name__)
 
--- a/src/greengageshunt/membership/shares_table.py
+++ b/src/greengageshunt/membership/shares_table.py
@@ -6,7 +6,7 @@
 
 from greengageshunt import application, codec, config, errors, logs
 from greengageshunt.membership import ownership, shares, shares_messages
-from greengageshunt.platforms import http
+from greengageshunt.stores import rows
 
 logger = logging.getLogger(__name__)
 
@@ -80,17 +80,18 @@
         After a write whose answer was lost, the next call reads the row back
         before it writes again.
         """
-        sent_at = self._app.clock()
-        row = await self._platform.get_row(SHARES_ROW)
+        reading = await self._platform.read_row(SHARES_ROW)
+        row = reading.row
         if row is not None:
             self._adopt(codec.from_plain(row.value, shares.ShareTable), "platform")
-            self._shares.note_row_read(sent_at)
+            self._shares.note_row_read(reading.as_of)
         table = self._wanted()
         if table is None:
             return
         etag = row.etag if row else None
+        sent_at = self._app.clock()
         written = await self._platform.put_row(SHARES_ROW, codec.to_plain(table), etag)
-        if isinstance(written, http.Conflict):
+        if isinstance(written, rows.Conflict):
             self._newer.set()
             return
         self._adopt(table, "own write")
--- a/src/greengageshunt/programs/ctl.py
+++ b/src/greengageshunt/programs/ctl.py
@@ -17,7 +17,7 @@
 SETTINGS_VARIABLE = "GREENGAGESHUNTCTL_SETTINGS"
 
 EXTENSIONS = (
-    "greengageshunt.platforms.http",
+    "greengageshunt.stores.http",
     "greengageshunt.commands.settings",
     "greengageshunt.commands.sheet",
     "greengageshunt.commands.key",
--- a/src/greengageshunt/programs/failover.py
+++ b/src/greengageshunt/programs/failover.py
@@ -5,7 +5,7 @@
 EXTENSIONS = (
     "greengageshunt.invariants",
     "greengageshunt.drivers.postgresql",
-    "greengageshunt.platforms.http",
+    "greengageshunt.stores.http",
     "greengageshunt.groups.directory",
     "greengageshunt.failover.watch",
     "greengageshunt.metrics.page",
--- a/src/greengageshunt/programs/proxy.py
+++ b/src/greengageshunt/programs/proxy.py
@@ -5,11 +5,11 @@
 EXTENSIONS = (
     "greengageshunt.invariants",
     "greengageshunt.drivers.postgresql",
-    "greengageshunt.platforms.http",
+    "greengageshunt.stores.http",
     "greengageshunt.membership.view",
     "greengageshunt.groups.directory",
     "greengageshunt.configuration.state",
-    "greengageshunt.platforms.polling",
+    "greengageshunt.stores.polling",
     "greengageshunt.groups.monitor",
     "greengageshunt.failover.grants",
     "greengageshunt.failover.supersession",
--- a/src/greengageshunt/standins/fleet.py
+++ b/src/greengageshunt/standins/fleet.py
@@ -14,9 +14,9 @@
 import aiohttp
 
 from greengageshunt import codec, model
-from greengageshunt.platforms import polling
 from greengageshunt.requests import ledger
 from greengageshunt.standins import layout as layout_module
+from greengageshunt.stores import polling
 
 START_TIMEOUT = 20.0  # seconds
 POLL_INTERVAL = 0.05  # seconds
--- a/src/greengageshunt/standins/memory.py
+++ b/src/greengageshunt/standins/memory.py
@@ -13,8 +13,8 @@
 
 from greengageshunt import application, config, errors, model
 from greengageshunt.peers import messages
-from greengageshunt.platforms import http
 from greengageshunt.programs import common
+from greengageshunt.stores import rows
 
 HEARTBEAT_INTERVAL = 0.25  # seconds
 POLL_INTERVAL = 0.5  # seconds
@@ -72,22 +72,27 @@
         self.down = False
         self._rows: dict[str, tuple[Any, int]] = {}
 
-    async def get_row(self, key: str) -> http.Row | None:
+    async def get_row(self, key: str) -> rows.Row | None:
         """Return a row, or None."""
         self._check(f"GET {key}", effect_unknown=False)
         if key not in self._rows:
             return None
         value, version = self._rows[key]
-        return http.Row(key=key, value=value, etag=str(version))
+        return rows.Row(key=key, value=value, etag=str(version))
 
-    async def put_row(self, key: str, value: Any, etag: str | None) -> http.Row | http.Conflict:
+    async def read_row(self, key: str) -> rows.Reading:
+        """Return a row with the time of its state."""
+        as_of = asyncio.get_running_loop().time()
+        return rows.Reading(row=await self.get_row(key), as_of=as_of)
+
+    async def put_row(self, key: str, value: Any, etag: str | None) -> rows.Row | rows.Conflict:
         """Write a row if it still has the given version."""
         self._check(f"PUT {key}", effect_unknown=True)
         _, version = self._rows.get(key, (None, 0))
         if (etag or "0") != str(version):
-            return http.Conflict(key=key)
+            return rows.Conflict(key=key)
         self._rows[key] = (value, version + 1)
-        return http.Row(key=key, value=value, etag=str(version + 1))
+        return rows.Row(key=key, value=value, etag=str(version + 1))
 
     def _check(self, step: str, *, effect_unknown: bool) -> None:
         if self.down:
--- a/src/greengageshunt/platforms/http.py
+++ b/src/greengageshunt/stores/http.py
@@ -1,6 +1,5 @@
 """Platform client over HTTP with ETag and If-Match."""
 
-import dataclasses
 import json
 from collections import abc
 from typing import Any
@@ -8,38 +7,26 @@
 import aiohttp
 
 from greengageshunt import application, codec, config, errors, model
+from greengageshunt import clock as clock_module
+from greengageshunt.stores import rows
 
 # Seconds. Below the 4 s for which a confirmation holds, so that a platform that
 # takes this long to answer still confirms without a gap.
 REQUEST_TIMEOUT = 3.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Row:
-    """One row of the platform's table.
-
-    Attributes:
-        key: Key of the row.
-        value: JSON value.
-        etag: Version for a conditional write.
-    """
-
-    key: str
-    value: Any
-    etag: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Conflict:
-    """A conditional write found another version; nothing was written."""
-
-    key: str
-
-
 class HttpPlatform:
     """Reads and writes rows and objects, and lists entry VMs."""
 
-    def __init__(self, *, address: str, vm: str, timeout: float = REQUEST_TIMEOUT) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        vm: str,
+        timeout: float = REQUEST_TIMEOUT,
+        clock: clock_module.Clock = clock_module.monotonic,
+    ) -> None:
+        self._clock = clock
         self._base = f"http://{address}"
         self._address = address
         self._vm = vm
@@ -51,7 +38,7 @@
         """``host:port`` of the platform."""
         return self._address
 
-    async def get_row(self, key: str) -> Row | None:
+    async def get_row(self, key: str) -> rows.Row | None:
         """Return a row, or None.
 
         Raises:
@@ -60,9 +47,18 @@
         status, headers, body = await self._request("GET", f"/rows/{key}")
         if status == 404:
             return None
-        return Row(key=key, value=json.loads(body), etag=headers["ETag"])
+        return rows.Row(key=key, value=json.loads(body), etag=headers["ETag"])
+
+    async def read_row(self, key: str) -> rows.Reading:
+        """Return a row with the time of its state.
+
+        Raises:
+            PlatformError: The platform did not answer.
+        """
+        sent_at = self._clock()
+        return rows.Reading(row=await self.get_row(key), as_of=sent_at)
 
-    async def put_row(self, key: str, value: Any, etag: str | None) -> Row | Conflict:
+    async def put_row(self, key: str, value: Any, etag: str | None) -> rows.Row | rows.Conflict:
         """Write a row if it still has the given version.
 
         Args:
@@ -79,17 +75,17 @@
             "PUT", f"/rows/{key}", data=json.dumps(value), headers=condition
         )
         if status == 412:
-            return Conflict(key=key)
-        return Row(key=key, value=value, etag=headers["ETag"])
+            return rows.Conflict(key=key)
+        return rows.Row(key=key, value=value, etag=headers["ETag"])
 
-    async def list_rows(self, prefix: str) -> tuple[Row, ...]:
+    async def list_rows(self, prefix: str) -> tuple[rows.Row, ...]:
         """Return all rows whose key begins with a prefix.
 
         Raises:
             PlatformError: The platform did not answer.
         """
         _, _, body = await self._request("GET", f"/rows?prefix={prefix}")
-        return tuple(Row(**row) for row in json.loads(body))
+        return tuple(rows.Row(**row) for row in json.loads(body))
 
     async def get_object(self, name: str) -> bytes | None:
         """Return an object, or None.
@@ -182,5 +178,6 @@
             address=app.settings["platform.address"],
             vm=app.settings["vm.name"],
             timeout=app.settings["platform.timeout"],
+            clock=app.clock,
         ),
     )
--- a/tests/support/fakes.py
+++ b/tests/support/fakes.py
@@ -6,8 +6,8 @@
 
 from greengageshunt import application, config, errors, model
 from greengageshunt.drivers import postgresql
-from greengageshunt.platforms import http
 from greengageshunt.programs import common
+from greengageshunt.stores import rows
 
 
 class FakeTarget:
@@ -147,24 +147,24 @@
     """Rows with versions; writes may lose their answer after or before their effect."""
 
     def __init__(self) -> None:
-        self.rows: dict[str, http.Row] = {}
+        self.rows: dict[str, rows.Row] = {}
         self.down = False
         self.lose_answers = 0
         self.writes = 0
 
-    async def get_row(self, key: str) -> http.Row | None:
+    async def get_row(self, key: str) -> rows.Row | None:
         """Return a row."""
         await self._pass()
         return self.rows.get(key)
 
-    async def put_row(self, key: str, value: Any, etag: str | None) -> http.Row | http.Conflict:
+    async def put_row(self, key: str, value: Any, etag: str | None) -> rows.Row | rows.Conflict:
         """Write a row if it has the version."""
         await self._pass()
         known = self.rows.get(key)
         if (known.etag if known else None) != etag:
-            return http.Conflict(key=key)
+            return rows.Conflict(key=key)
         self.writes += 1
-        self.rows[key] = http.Row(key=key, value=value, etag=str(self.writes))
+        self.rows[key] = rows.Row(key=key, value=value, etag=str(self.writes))
         if self.lose_answers:
             self.lose_answers -= 1
             raise self._error(effect_unknown=True)
--- a/tests/test_configuration/test_polling.py
+++ b/tests/test_configuration/test_polling.py
@@ -10,7 +10,7 @@
 from greengageshunt.configuration import pointer, state
 from greengageshunt.groups import directory
 from greengageshunt.membership import view
-from greengageshunt.platforms import http, polling
+from greengageshunt.stores import polling, rows
 
 ME = model.Member(vm="vm-1", failure_domain="klang", peer_address="127.0.0.1:1")
 OTHER = model.Member(vm="vm-2", failure_domain="klang", peer_address="127.0.0.1:2")
@@ -36,9 +36,9 @@
         self.row = codec.to_plain(value)
         self.objects["o"] = data
 
-    async def get_row(self, key: str) -> http.Row | None:
+    async def get_row(self, key: str) -> rows.Row | None:
         """Return the pointer row."""
-        return None if self.row is None else http.Row(key=key, value=self.row, etag="1")
+        return None if self.row is None else rows.Row(key=key, value=self.row, etag="1")
 
     async def get_object(self, name: str) -> bytes | None:
         """Return an object."""
--- a/tests/test_failover/test_processes.py
+++ b/tests/test_failover/test_processes.py
@@ -10,7 +10,7 @@
 from greengageshunt import codec, model
 from greengageshunt.failover import watch
 from greengageshunt.membership import ownership
-from greengageshunt.platforms import polling
+from greengageshunt.stores import polling
 from support import callers, configurations
 
 GAP_BOUND = 5.0  # seconds that the gap never exceeds
--- a/tests/test_failover/test_promotion.py
+++ b/tests/test_failover/test_promotion.py
@@ -7,7 +7,7 @@
 
 from greengageshunt import codec, model
 from greengageshunt.failover import detection, election, promotion, rows, targets
-from greengageshunt.platforms import http
+from greengageshunt.stores import rows as store_rows
 from support import fakes
 
 ROW = "groups/group"
@@ -21,7 +21,7 @@
     """Return a group, with a short wait for write grants."""
     monkeypatch.setattr(election.grants, "GRANT_LENGTH", 0.05)
     world = fakes.build_world()
-    world.platform.rows[ROW] = http.Row(key=ROW, value=codec.to_plain(world.record), etag="0")
+    world.platform.rows[ROW] = store_rows.Row(key=ROW, value=codec.to_plain(world.record), etag="0")
     return world
 
 
@@ -98,7 +98,9 @@
         first = detection._plan(view, detection.Reason.FAILED, opened)
         await _promote(world, first)
         # The platform has not stored the promotion, and the opened target is cut off.
-        world.platform.rows[ROW] = http.Row(key=ROW, value=codec.to_plain(world.record), etag="0")
+        world.platform.rows[ROW] = store_rows.Row(
+            key=ROW, value=codec.to_plain(world.record), etag="0"
+        )
         world.targets["a"].alive, world.targets[opened].alive = True, False
     opened = [term for target in world.targets.values() for term, _ in target.promotions]
     assert opened == [2]
@@ -136,7 +138,7 @@
 async def test_newer_intent_of_another_promoter_is_respected(world):
     """Guards against promoters that fence each other while the platform answers."""
     stored = dataclasses.replace(world.record, intent=model.Intent(term=5, promoter="other"))
-    world.platform.rows[ROW] = http.Row(key=ROW, value=codec.to_plain(stored), etag="0")
+    world.platform.rows[ROW] = store_rows.Row(key=ROW, value=codec.to_plain(stored), etag="0")
     outcome = await _promote(world)
     assert outcome == promotion.Contested(stored=stored)
     assert world.targets["b"].term == 1
