--- a/src/greengageshunt/application.py
+++ b/src/greengageshunt/application.py
@@ -42,6 +42,7 @@
         self._extensions: list[str] = []
         self._instances: dict[tuple[str, str], Any] = {}
         self._stopping = asyncio.Event()
+        self._reload: abc.Callable[[], None] | None = None
 
     @property
     def name(self) -> str:
@@ -150,11 +151,17 @@
         """Ask the application to stop gracefully."""
         self._stopping.set()
 
+    def on_reload(self, callback: abc.Callable[[], None]) -> None:
+        """Set what runs when the settings file has changed (SIGHUP)."""
+        self._reload = callback
+
     async def run(self) -> None:
         """Run all registered services until a stop is requested or one fails."""
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.request_stop)
+        if self._reload is not None:
+            loop.add_signal_handler(signal.SIGHUP, self._reload)
         names = self._registry.names("service")
         services = [(name, self.part("service", name)) for name in names]
         logger.info("starting", extra={"program": self._name, "services": list(names)})
--- /dev/null
+++ b/src/greengageshunt/coordination/members.py
@@ -0,0 +1,159 @@
+"""Registers the own entry VM in the store, and removes those that are gone."""
+
+import asyncio
+import dataclasses
+import logging
+import math
+import random
+import uuid
+
+from greengageshunt import application, codec, errors, logs, model
+from greengageshunt.coordination import lease, records, view
+from greengageshunt.membership import ownership
+from greengageshunt.stores import rows
+
+logger = logging.getLogger(__name__)
+
+CHECK_INTERVAL = 0.5  # seconds
+
+# Seconds of silence towards this entry VM after which another one counts as gone. Longer than
+# a restart or a partition usually lasts, since a removal makes changes of primaries wait.
+GONE_AFTER = 20.0
+
+# Seconds within which a step of the stop must reach the store.
+DEREGISTER_TIMEOUT = 0.5
+
+REGISTER_DELAY = 0.3  # seconds after a failed write
+
+
+class MemberRegistry:
+    """Keeps the own row, and the member view in line with the rows."""
+
+    def __init__(self, *, app: application.Application) -> None:
+        self._app = app
+        self._store = app.selected("platform")
+        self._view: view.StoreView = app.part("coordination", "view")
+        self._members = app.part("membership", "view")
+        self._started_at = app.clock()
+        self._heard_at: dict[str, float] = {}
+        self._removed_at: dict[str, float] = {}
+        me: model.Member = self._members.me
+        self._me = records.MemberEntry(
+            vm=me.vm,
+            failure_domain=me.failure_domain,
+            peer_address=me.peer_address,
+            incarnation=uuid.uuid4().hex[:12],
+        )
+        app.events.connect("control-changed", self._refresh)
+
+    @property
+    def me(self) -> records.MemberEntry:
+        """The own entry."""
+        return self._me
+
+    @property
+    def registered(self) -> bool:
+        """Whether the own row stands in the copy of the store."""
+        return self._view.members.get(self._me.vm) == self._me
+
+    async def run(self) -> None:
+        """Register, and look after the rows until cancelled."""
+        while True:
+            delay = CHECK_INTERVAL
+            try:
+                if not self.registered and not self._app.stopping:
+                    await self._register()
+                else:
+                    await self._remove_gone(self._app.clock())
+            except errors.PlatformError as error:
+                logger.info("member row not written", extra={"reason": str(error)})
+                delay = REGISTER_DELAY
+            await asyncio.sleep(delay * random.uniform(0.8, 1.2))
+
+    async def stop(self) -> None:
+        """Delete the own row, so that nobody waits for this process."""
+        row = self._view.row(view.MEMBER_PREFIX + self._me.vm)
+        if row is None or not self.registered:
+            return
+        try:
+            async with asyncio.timeout(DEREGISTER_TIMEOUT):
+                await self._store.delete_row(row.key, str(row.version))
+        except (TimeoutError, errors.PlatformError) as error:
+            logger.warning("member row not deleted", extra={"reason": str(error)})
+
+    async def _register(self) -> None:
+        if not self._view.copy(records.Section.CONTROL).version:
+            return
+        key = view.MEMBER_PREFIX + self._me.vm
+        row = self._view.row(key)
+        etag = str(row.version) if row else None
+        written = await self._store.put_row(key, codec.to_plain(self._me), etag)
+        registered = isinstance(written, rows.Row)
+        logs.log_decision(
+            logger,
+            "register",
+            key=key,
+            version=etag,
+            incarnation=self._me.incarnation,
+            outcome="registered" if registered else "conflict",
+        )
+        if registered:
+            self._view.note_row(lease.control_row(written))
+
+    def _refresh(self, version: int) -> None:
+        listed = [entry for entry in self._view.members.values() if not entry.removed]
+        if not listed:
+            return
+        members = tuple(view.member_of(entry) for entry in listed)
+        if self._members.replace(members):
+            fields = {"members": [member.vm for member in members], "version": version}
+            logs.log_decision(logger, "adopt-members", **fields)
+            self._app.events.emit("members-changed", self._members.members)
+
+    async def _remove_gone(self, now: float) -> None:
+        """Mark silent entry VMs as removed, and delete marked rows later.
+
+        One entry VM does so. A marked row stays for as long as a permission to use a
+        primary can last, so that a change of primary still waits for its process.
+        """
+        ranked = ownership.rank("members", self._members.live(now))
+        if not ranked or ranked[0].vm != self._me.vm:
+            self._removed_at.clear()
+            return
+        for vm, entry in tuple(self._view.members.items()):
+            if vm == self._me.vm:
+                continue
+            if entry.removed:
+                since = self._removed_at.setdefault(vm, now)
+                if now - since > lease.LEASE + lease.DRIFT:
+                    await self._delete(vm)
+            elif self._silent(vm, now):
+                await self._mark(entry)
+
+    def _silent(self, vm: str, now: float) -> bool:
+        if self._members.answers(vm, now):
+            self._heard_at[vm] = now
+        return now - max(self._heard_at.get(vm, -math.inf), self._started_at) > GONE_AFTER
+
+    async def _mark(self, entry: records.MemberEntry) -> None:
+        row = self._view.row(view.MEMBER_PREFIX + entry.vm)
+        if row is None:
+            return
+        marked = dataclasses.replace(entry, removed=True)
+        written = await self._store.put_row(row.key, codec.to_plain(marked), str(row.version))
+        logs.log_decision(logger, "remove-member", vm=entry.vm, silent_for=GONE_AFTER)
+        if isinstance(written, rows.Row):
+            self._view.note_row(lease.control_row(written))
+
+    async def _delete(self, vm: str) -> None:
+        row = self._view.row(view.MEMBER_PREFIX + vm)
+        if row is not None:
+            await self._store.delete_row(row.key, str(row.version))
+            logs.log_decision(logger, "delete-member", vm=vm, version=row.version)
+        self._removed_at.pop(vm, None)
+
+
+def setup(app: application.Application) -> None:
+    """Register the registry of entry VMs."""
+    app.add_part("coordination", "members", lambda app: MemberRegistry(app=app))
+    app.add_part("service", "member-registry", lambda app: app.part("coordination", "members"))
--- /dev/null
+++ b/src/greengageshunt/coordination/promotion.py
@@ -0,0 +1,466 @@
+"""Changes the primary of a group when it fails or leaves.
+
+Each change is a conditional write of the group's record with a higher fencing token, then the recall
+of all permissions, then the order to the platform. An order whose answer is lost may be carried
+out later, so every change ends with an order of its own token, which fences off earlier ones.
+"""
+
+import asyncio
+import dataclasses
+import logging
+from typing import Any
+
+from greengageshunt import application, codec, errors, logs, model
+from greengageshunt.coordination import lease, records, view
+from greengageshunt.membership import ownership
+from greengageshunt.pooling import execution, pools
+from greengageshunt.stores import rows
+
+logger = logging.getLogger(__name__)
+
+CHECK_INTERVAL = 0.2  # seconds
+
+# Seconds for which this entry VM must have failed to reach a primary before it asks others.
+SUSPICION = 0.4
+
+# Seconds without an answer after which a primary is tried for its own sake.
+QUIET_LIMIT = 1.5
+
+PROBE_TIMEOUT = 0.4  # seconds
+REACH_TIMEOUT = 0.6  # seconds
+RECALL_TIMEOUT = 0.5  # seconds
+STATUS_TIMEOUT = 0.4  # seconds
+
+# Part of the entry VMs that must not reach a primary before it is replaced.
+UNREACHED_SHARE = 0.4
+
+# Seconds for which a replaced primary's last commits may take to reach a replica.
+CATCH_UP_LIMIT = 1.0
+
+# Seconds until the named target leads.
+LEAD_LIMIT = 4.0
+
+POLL_INTERVAL = 0.08  # seconds
+
+# Seconds after which a change that another entry VM began counts as abandoned.
+ABANDONED_AFTER = 5.0
+
+# Seconds before the next change of the same group.
+PAUSE = 1.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Status:
+    """Answer of a target to a status call."""
+
+    entry: records.TargetEntry
+    primary: bool
+    term: int
+    position: model.Position | None
+
+
+def choose_successor(statuses: tuple[Status, ...], leaving: str) -> Status | None:
+    """Return the target that takes over: the one that received most.
+
+    Args:
+        statuses: Answers of the group's targets.
+        leaving: Name of the target that is replaced.
+    """
+    zero = model.Position(term=0, offset=0)
+    fit = [item for item in statuses if item.entry.target != leaving and not item.entry.draining]
+    return max(fit, key=lambda item: (item.position or zero, item.entry.target), default=None)
+
+
+def should_replace(*, unreached: int, asked: int) -> bool:
+    """Return whether so many entry VMs do not reach a primary that it is replaced.
+
+    Args:
+        unreached: Entry VMs, the own one included, that do not reach it.
+        asked: Entry VMs that answered, the own one included.
+    """
+    if asked == 1:
+        return unreached == 1
+    return unreached >= max(2, UNREACHED_SHARE * asked)
+
+
+class Promoter:
+    """Watches the primaries of the groups that fall to this entry VM."""
+
+    def __init__(self, *, app: application.Application) -> None:
+        self._app = app
+        self._store = app.selected("platform")
+        self._duty = app.part("duty", "failover")
+        self._driver = app.selected("driver")
+        self._view: view.StoreView = app.part("coordination", "view")
+        self._members = app.part("membership", "view")
+        self._registry = app.part("coordination", "members")
+        self._links = app.part("peers", "links")
+        self._pools: pools.TargetPools = app.part("pooling", "pools")
+        self._executor: execution.Executor = app.part("pooling", "executor")
+        self._configuration = app.part("configuration", "state")
+        self._changing_since: dict[str, tuple[int, float]] = {}
+        self._failing_since: dict[str, float] = {}
+        self._not_before: dict[str, float] = {}
+        server = app.part("peers", "server")
+        server.add_handler(records.LeaseRecall, self._answer_recall)
+        server.add_handler(records.ReachRequest, self._answer_reach)
+
+    async def run(self) -> None:
+        """Watch the groups until cancelled, one task for each."""
+        running: dict[str, asyncio.Task[None]] = {}
+        try:
+            while True:
+                now = self._app.clock()
+                for group in self._groups(now):
+                    task = running.get(group)
+                    if (task is None or task.done()) and now >= self._not_before.get(group, now):
+                        running[group] = asyncio.create_task(
+                            self._check(group), name=f"primary of {group}"
+                        )
+                await asyncio.sleep(CHECK_INTERVAL)
+        finally:
+            for task in running.values():
+                task.cancel()
+
+    def _groups(self, now: float) -> tuple[str, ...]:
+        """Return the groups that fall to this entry VM."""
+        if self._app.stopping or not self._registry.registered:
+            return ()
+        live = self._members.live(now)
+        groups = self._configuration.current.groups_by_name
+        me = self._members.me.vm
+        return tuple(name for name in groups if ownership.rank(name, live)[0].vm == me)
+
+    async def _check(self, group: str) -> None:
+        try:
+            await self._check_once(group, self._app.clock())
+        except (errors.PlatformError, errors.TargetError) as error:
+            logger.warning(
+                "change of primary failed",
+                extra={"group": group, "peer": error.peer, "reason": str(error)},
+            )
+            self._not_before[group] = self._app.clock() + PAUSE
+
+    async def _check_once(self, group: str, now: float) -> None:
+        record = self._view.lead(group)
+        entries = self._view.targets_of(group)
+        if record is None:
+            await self._record_first(group, entries)
+            return
+        if record.changing:
+            token, since = self._changing_since.get(group, (0, now))
+            if token != record.token:
+                self._changing_since[group] = (record.token, now)
+            elif now - since > ABANDONED_AFTER or record.holder == self._members.me.vm:
+                await self._change(record, "the change was abandoned")
+            return
+        entry = self._view.target(record.primary)
+        if entry is None:
+            if entries:
+                await self._change(record, "the primary is not listed")
+        elif entry.draining:
+            await self._change(record, "the primary drains")
+        elif await self._is_lost(entry):
+            await self._change(record, "the primary is not reached")
+
+    async def _record_first(self, group: str, entries: tuple[records.TargetEntry, ...]) -> None:
+        """Write the first record of a group, by what its targets say of themselves."""
+        copy = self._view.copy(records.Section.CONTROL)
+        primaries = [entry for entry in entries if entry.primary]
+        if len(primaries) != 1 or not copy.version:
+            return
+        record = records.LeadRecord(
+            group=group,
+            primary=primaries[0].target,
+            token=1,
+            holder=self._members.me.vm,
+            changing=False,
+        )
+        await self._write(record, None)
+
+    async def _is_lost(self, entry: records.TargetEntry) -> bool:
+        """Return whether so many entry VMs do not reach a primary that it is replaced."""
+        name = entry.target
+        target_pool = self._pools.pool(entry)
+        now = self._app.clock()
+        quiet = now - target_pool.answered_at > QUIET_LIMIT
+        if not target_pool.failures and not quiet:
+            self._failing_since.pop(name, None)
+            return False
+        if await self._reaches(entry):
+            self._failing_since.pop(name, None)
+            return False
+        since = self._failing_since.setdefault(name, now)
+        if self._app.clock() - since < SUSPICION:
+            return False
+        request = records.ReachRequest(target=name)
+        peers = [
+            member.vm for member in self._members.live(now) if member.vm != self._members.me.vm
+        ]
+        answers = await asyncio.gather(*(self._ask(vm, request, REACH_TIMEOUT) for vm in peers))
+        known = [answer for answer in answers if answer is not None]
+        unreached = 1 + sum(not answer.reached for answer in known)
+        lost = should_replace(unreached=unreached, asked=1 + len(known))
+        logs.log_decision(
+            logger,
+            "suspect-primary",
+            group=entry.group,
+            target=name,
+            unreached=unreached,
+            asked=1 + len(known),
+            failing_for=round(self._app.clock() - since, 3),
+            outcome="replace" if lost else "keep",
+        )
+        if not lost:
+            self._not_before[entry.group] = self._app.clock() + PAUSE
+        return lost
+
+    async def _change(self, record: records.LeadRecord, reason: str) -> None:
+        """Replace the primary of a group.
+
+        Raises:
+            PlatformError: The store or the platform did not answer.
+        """
+        group = record.group
+        row = self._view.row(view.GROUP_PREFIX + group)
+        if row is None:
+            return
+        self._not_before[group] = self._app.clock() + PAUSE
+        intent = dataclasses.replace(
+            record, token=record.token + 1, holder=self._members.me.vm, changing=True
+        )
+        started_at = self._app.clock()
+        logs.log_decision(
+            logger,
+            "change-primary",
+            group=group,
+            primary=record.primary,
+            token=intent.token,
+            reason=reason,
+            version=row.version,
+        )
+        written = await self._write(intent, row)
+        if written is None:
+            return
+        await self._recall(written)
+        successor = await self._prepare(intent)
+        if successor is None:
+            logger.warning("no target can take over", extra={"group": group})
+            return
+        accepted = await self._duty.make_primary(
+            group, successor.entry.target, intent.holder, intent.token
+        )
+        logs.log_decision(
+            logger,
+            "order-primary",
+            group=group,
+            target=successor.entry.target,
+            token=intent.token,
+            position=str(successor.position),
+            outcome="accepted" if accepted else "rejected",
+        )
+        if not accepted:
+            return
+        status = await self._await_lead(successor.entry)
+        final = dataclasses.replace(
+            intent, primary=successor.entry.target, changing=False, term=status.term
+        )
+        done = await self._write(final, written)
+        logs.log_decision(
+            logger,
+            "primary-changed",
+            group=group,
+            primary=final.primary,
+            term=final.term,
+            token=final.token,
+            seconds=round(self._app.clock() - started_at, 3),
+            outcome="recorded" if done else "conflict",
+        )
+        if done is not None:
+            await self._tell(done)
+
+    async def _write(
+        self, record: records.LeadRecord, row: records.ControlRow | None
+    ) -> records.ControlRow | None:
+        """Write a group's record under the condition of its version; None if it changed.
+
+        Raises:
+            PlatformError: The store did not answer.
+        """
+        key = view.GROUP_PREFIX + record.group
+        etag = str(row.version) if row else None
+        written = await self._store.put_row(key, codec.to_plain(record), etag)
+        if not isinstance(written, rows.Row):
+            logs.log_decision(
+                logger, "write-lead", group=record.group, version=etag, outcome="conflict"
+            )
+            return None
+        stored = lease.control_row(written)
+        self._view.note_row(stored)
+        return stored
+
+    async def _recall(self, row: records.ControlRow) -> None:
+        """Wait until no entry VM uses the primary any more."""
+        written_at = self._app.clock()
+        request = records.LeaseRecall(row=row)
+        me = self._members.me.vm
+        others = {vm: entry for vm, entry in self._view.members.items() if vm != me}
+        record = codec.from_json(row.value, records.LeadRecord)
+        answers = await asyncio.gather(
+            self._executor.wait_writes(record.group),
+            *(self._ask(vm, request, RECALL_TIMEOUT) for vm in others),
+        )
+        stopped = {
+            answer.vm
+            for answer in answers
+            if answer is not None and answer.incarnation == others[answer.vm].incarnation
+        }
+        silent = sorted(set(others) - stopped)
+        until = written_at + lease.LEASE + lease.DRIFT
+        logs.log_decision(
+            logger,
+            "recall-leases",
+            group=record.group,
+            version=row.version,
+            silent=silent,
+            wait=round(until - self._app.clock(), 3) if silent else 0.0,
+        )
+        if silent:
+            await asyncio.sleep(until - self._app.clock())
+
+    async def _prepare(self, record: records.LeadRecord) -> Status | None:
+        """Make the old primary step down if it answers, and return who takes over."""
+        statuses = await self._statuses(record.group)
+        old = next((item for item in statuses if item.entry.target == record.primary), None)
+        if choose_successor(statuses, record.primary) is None:
+            return old if old is not None and old.primary else None
+        if old is not None and old.primary:
+            await self._step_down(old)
+            statuses = await self._await_catch_up(record.group, old)
+        leaders = [
+            item for item in statuses if item.primary and item.entry.target != record.primary
+        ]
+        if leaders:
+            return leaders[0]
+        return choose_successor(statuses, record.primary)
+
+    async def _step_down(self, old: Status) -> None:
+        try:
+            connection = await self._connect(old.entry)
+            try:
+                await connection.step_down(old.term + 1, STATUS_TIMEOUT)
+            finally:
+                connection.close()
+        except errors.TargetError as error:
+            logger.info("no step down", extra={"peer": error.peer, "reason": str(error)})
+
+    async def _await_catch_up(self, group: str, old: Status) -> tuple[Status, ...]:
+        """Wait until a replica received what the old primary had."""
+        until = self._app.clock() + CATCH_UP_LIMIT
+        while True:
+            statuses = await self._statuses(group)
+            last = next((item for item in statuses if item.entry == old.entry), old)
+            successor = choose_successor(statuses, old.entry.target)
+            reached = (
+                successor is not None
+                and successor.position is not None
+                and last.position is not None
+                and successor.position >= last.position
+            )
+            if reached or self._app.clock() > until:
+                return statuses
+            await asyncio.sleep(POLL_INTERVAL)
+
+    async def _await_lead(self, entry: records.TargetEntry) -> Status:
+        """Wait until a target says that it leads.
+
+        Raises:
+            TargetError: It does not in time.
+        """
+        until = self._app.clock() + LEAD_LIMIT
+        while self._app.clock() < until:
+            status = await self._status(entry)
+            if status is not None and status.primary:
+                return status
+            await asyncio.sleep(POLL_INTERVAL)
+        raise errors.TargetError(
+            "it does not lead in time", step="await lead", peer=entry.target, sent=True
+        )
+
+    async def _statuses(self, group: str) -> tuple[Status, ...]:
+        found = await asyncio.gather(
+            *(self._status(entry) for entry in self._view.targets_of(group))
+        )
+        return tuple(status for status in found if status is not None)
+
+    async def _status(self, entry: records.TargetEntry) -> Status | None:
+        try:
+            connection = await self._connect(entry)
+            try:
+                status = await connection.status(STATUS_TIMEOUT)
+            finally:
+                connection.close()
+        except errors.TargetError as error:
+            logger.info("no status", extra={"peer": error.peer, "reason": str(error)})
+            return None
+        return Status(
+            entry=entry, primary=status.primary, term=status.term, position=status.position
+        )
+
+    async def _connect(self, entry: records.TargetEntry) -> Any:
+        # The system's own connection comes from the share of this entry VM.
+        self._pools.pool(entry).close_idle()
+        return await self._driver.connect(entry, "-", PROBE_TIMEOUT)
+
+    async def _reaches(self, entry: records.TargetEntry) -> bool:
+        """Return whether a target accepts a connection, or refuses one with a code."""
+        target_pool = self._pools.pool(entry)
+        try:
+            connection = await self._driver.connect(entry, "-", PROBE_TIMEOUT)
+        except errors.TargetError as error:
+            if not error.code:
+                return False
+        else:
+            connection.close()
+        target_pool.note_answer(self._app.clock())
+        return True
+
+    async def _tell(self, row: records.ControlRow) -> None:
+        request = records.LeaseRecall(row=row)
+        others = [vm for vm in self._view.members if vm != self._members.me.vm]
+        await asyncio.gather(*(self._ask(vm, request, RECALL_TIMEOUT) for vm in others))
+
+    async def _ask(self, vm: str, request: Any, timeout: float) -> Any:
+        try:
+            return await self._links.request(vm, request, timeout)
+        except (errors.PeerError, errors.RefusedError) as error:
+            logger.info("peer did not answer", extra={"peer": vm, "reason": str(error)})
+            return None
+
+    async def _answer_recall(
+        self, message: records.LeaseRecall, received_at: float
+    ) -> records.LeaseRecalled:
+        self._view.note_row(message.row)
+        record = codec.from_json(message.row.value, records.LeadRecord)
+        if record.changing:
+            await self._executor.wait_writes(record.group)
+        me = self._registry.me
+        return records.LeaseRecalled(vm=me.vm, incarnation=me.incarnation)
+
+    async def _answer_reach(
+        self, message: records.ReachRequest, received_at: float
+    ) -> records.ReachAnswer:
+        entry = self._view.target(message.target)
+        reached = False
+        if entry is not None:
+            target_pool = self._pools.pool(entry)
+            recent = received_at - target_pool.answered_at < SUSPICION
+            fresh = recent and not target_pool.failures
+            reached = fresh or await self._reaches(entry)
+        return records.ReachAnswer(vm=self._members.me.vm, reached=reached)
+
+
+def setup(app: application.Application) -> None:
+    """Register the changes of primaries."""
+    app.add_part("coordination", "promoter", lambda app: Promoter(app=app))
+    app.add_part("service", "promoter", lambda app: app.part("coordination", "promoter"))
--- /dev/null
+++ b/src/greengageshunt/coordination/view.py
@@ -0,0 +1,217 @@
+"""The copy of the store's sections on one entry VM.
+
+A copy carries the version of the store up to which it is complete, and the time
+as of which the store held nothing newer. Peers that hold the same rows pass that time on, so
+that an entry VM which the store turns away stays confirmed through others.
+"""
+
+import dataclasses
+import functools
+import hashlib
+import logging
+import math
+from collections import abc
+from typing import Any
+
+from greengageshunt import application, codec, logs, model
+from greengageshunt.coordination import records
+
+logger = logging.getLogger(__name__)
+
+GROUP_PREFIX = "groups/"
+MEMBER_PREFIX = "members/"
+
+# Seconds for which a target whose entry disappeared is still listed. Entries that lapsed
+# during an outage of the store are back about 2 s after it.
+LAPSE_GRACE = 2.5
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Copy:
+    """Rows of one section.
+
+    Attributes:
+        rows: Rows by key.
+        version: Version of the store up to which the copy is complete; 0 for none.
+        as_of: Monotonic seconds as of which the store held nothing newer.
+    """
+
+    rows: abc.Mapping[str, Any]
+    version: int = 0
+    as_of: float = -math.inf
+
+    @functools.cached_property
+    def digest(self) -> str:
+        """Text that is equal for equal rows."""
+        lines = "\n".join(f"{key} {row.version}" for key, row in sorted(self.rows.items()))
+        return hashlib.blake2b(lines.encode(), digest_size=8).hexdigest()
+
+
+EMPTY = Copy(rows={})
+
+
+def apply(copy: Copy, changes: records.Changes) -> Copy:
+    """Return a copy after changes; an older answer only adds what it confirms."""
+    if changes.version < copy.version:
+        return copy
+    # Rows above the version of the answer came from peers or from own writes.
+    newer = {key: row for key, row in copy.rows.items() if row.version > changes.version}
+    rows = {} if changes.whole else dict(copy.rows)
+    rows.update((row.key, row) for row in changes.rows)
+    for key in changes.removed:
+        rows.pop(key, None)
+    rows.update(newer)
+    if rows == copy.rows:
+        rows = copy.rows
+    return Copy(rows=rows, version=changes.version, as_of=max(copy.as_of, changes.as_of))
+
+
+def confirm(copy: Copy, digest: str, version: int, as_of: float) -> Copy:
+    """Return a copy after a peer with equal rows told as of when it was confirmed."""
+    if digest != copy.digest or not copy.version:
+        return copy
+    return dataclasses.replace(
+        copy, version=max(copy.version, version), as_of=max(copy.as_of, as_of)
+    )
+
+
+class StoreView:
+    """Holds the copies of the control table and of the target list."""
+
+    def __init__(self, *, app: application.Application) -> None:
+        self._app = app
+        self._copies = {section: EMPTY for section in records.Section}
+        self._leads: dict[str, records.LeadRecord] = {}
+        self._members: dict[str, records.MemberEntry] = {}
+        self._targets: dict[str, records.TargetEntry] = {}
+        self._by_group: dict[str, tuple[records.TargetEntry, ...]] = {}
+        self._lapsed: dict[str, tuple[records.TargetEntry, float]] = {}
+
+    @property
+    def members(self) -> abc.Mapping[str, records.MemberEntry]:
+        """Registered entry VMs by name, removed ones included."""
+        return self._members
+
+    @property
+    def leads(self) -> abc.Mapping[str, records.LeadRecord]:
+        """Records of the groups' primaries by group."""
+        return self._leads
+
+    def copy(self, section: records.Section) -> Copy:
+        """Return the copy of a section."""
+        return self._copies[section]
+
+    def row(self, key: str) -> records.ControlRow | None:
+        """Return a row of the control table, or None."""
+        return self._copies[records.Section.CONTROL].rows.get(key)
+
+    def lead(self, group: str) -> records.LeadRecord | None:
+        """Return the record of a group's primary, or None."""
+        return self._leads.get(group)
+
+    def target(self, name: str) -> records.TargetEntry | None:
+        """Return the entry of a target, or None."""
+        return self._targets.get(name)
+
+    def targets_of(self, group: str) -> tuple[records.TargetEntry, ...]:
+        """Return the listed targets of a group."""
+        return self._by_group.get(group, ())
+
+    def apply(self, section: records.Section, changes: records.Changes, source: str) -> None:
+        """Take over what the store or a peer said of a section."""
+        before = self._copies[section]
+        self._copies[section] = after = apply(before, changes)
+        if after.rows is not before.rows:
+            self._decode(section, before, after, source)
+
+    def confirm(self, section: records.Section, digest: str, version: int, as_of: float) -> None:
+        """Take over the confirmation of a peer with equal rows."""
+        self._copies[section] = confirm(self._copies[section], digest, version, as_of)
+
+    def forget(self, section: records.Section) -> None:
+        """Make the next reading of a section a whole one; its rows stay in use."""
+        self._copies[section] = dataclasses.replace(self._copies[section], version=0)
+
+    def note_row(self, row: records.ControlRow) -> None:
+        """Take over one newer row of the control table, from a peer or an own write.
+
+        The copy is not complete up to the row's version, so its own version stays.
+        """
+        copy = self._copies[records.Section.CONTROL]
+        known = copy.rows.get(row.key)
+        if known is not None and known.version >= row.version:
+            return
+        after = dataclasses.replace(copy, rows={**copy.rows, row.key: row})
+        self._copies[records.Section.CONTROL] = after
+        self._decode(records.Section.CONTROL, copy, after, "row")
+
+    def expire(self, now: float) -> None:
+        """Drop targets whose entries stayed away."""
+        gone = [name for name, (_, since) in self._lapsed.items() if now - since > LAPSE_GRACE]
+        for name in gone:
+            del self._lapsed[name]
+            self._targets.pop(name, None)
+            logs.log_decision(logger, "drop-target", target=name, age=LAPSE_GRACE)
+        if gone:
+            self._index_targets()
+
+    def _decode(self, section: records.Section, before: Copy, after: Copy, source: str) -> None:
+        if section is records.Section.TARGETS:
+            self._decode_targets(after, source)
+            return
+        changed = {key: row for key, row in after.rows.items() if before.rows.get(key) is not row}
+        for key, row in changed.items():
+            self._decode_control(key, row, source)
+        for key in set(before.rows) - set(after.rows):
+            self._leads.pop(key.removeprefix(GROUP_PREFIX), None)
+            self._members.pop(key.removeprefix(MEMBER_PREFIX), None)
+        self._app.events.emit("control-changed", after.version)
+
+    def _decode_control(self, key: str, row: records.ControlRow, source: str) -> None:
+        try:
+            if key.startswith(GROUP_PREFIX):
+                record = codec.from_json(row.value, records.LeadRecord)
+                self._leads[record.group] = record
+                fields = codec.to_plain(record)
+                logs.log_decision(
+                    logger, "adopt-lead", version=row.version, source=source, **fields
+                )
+            elif key.startswith(MEMBER_PREFIX):
+                member = codec.from_json(row.value, records.MemberEntry)
+                self._members[member.vm] = member
+        except ValueError as error:
+            logger.warning("control row is unreadable", extra={"key": key, "reason": str(error)})
+
+    def _decode_targets(self, after: Copy, source: str) -> None:
+        now = self._app.clock()
+        listed = {row.entry.target: row.entry for row in after.rows.values() if row.entry}
+        for name, entry in listed.items():
+            if self._targets.get(name) != entry:
+                logs.log_decision(logger, "adopt-target", source=source, **codec.to_plain(entry))
+            self._lapsed.pop(name, None)
+        for name, entry in self._targets.items():
+            if name not in listed and name not in self._lapsed:
+                self._lapsed[name] = (entry, now)
+        self._targets = {**{name: entry for name, (entry, _) in self._lapsed.items()}, **listed}
+        self._index_targets()
+
+    def _index_targets(self) -> None:
+        by_group: dict[str, tuple[records.TargetEntry, ...]] = {}
+        for entry in self._targets.values():
+            by_group[entry.group] = (*by_group.get(entry.group, ()), entry)
+        self._by_group = by_group
+        self._app.events.emit("targets-changed", tuple(self._targets.values()))
+
+
+def member_of(entry: records.MemberEntry) -> model.Member:
+    """Return a registered entry VM as the member view knows it."""
+    return model.Member(
+        vm=entry.vm, failure_domain=entry.failure_domain, peer_address=entry.peer_address
+    )
+
+
+def setup(app: application.Application) -> None:
+    """Register the copy of the store."""
+    app.add_event("control-changed")
+    app.add_event("targets-changed")
+    app.add_part("coordination", "view", lambda app: StoreView(app=app))
--- a/src/greengageshunt/errors.py
+++ b/src/greengageshunt/errors.py
@@ -81,6 +81,13 @@
         self.effect_unknown = effect_unknown
 
 
+class HistoryLostError(PlatformError):
+    """The store no longer has the changes since a version."""
+
+    def __init__(self, message: str, *, step: str, peer: str) -> None:
+        super().__init__(message, step=step, peer=peer, effect_unknown=False)
+
+
 class TargetError(GreengageshuntError):
     """A target did not answer, closed the connection or rejected a statement.
 
--- /dev/null
+++ b/src/greengageshunt/frontends/pages.py
@@ -0,0 +1,85 @@
+"""Small HTTP pages of a daemon, with ``h11`` as the codec."""
+
+import asyncio
+import dataclasses
+import logging
+from collections import abc
+
+import h11
+
+logger = logging.getLogger(__name__)
+
+READ_SIZE = 4096  # bytes
+
+REQUEST_TIMEOUT = 30.0  # seconds between requests on one connection
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Page:
+    """What a page shows now."""
+
+    status: int
+    body: bytes
+    content_type: str = "text/plain; charset=utf-8"
+
+
+# Returns a page at the time of the request.
+Source = abc.Callable[[], Page]
+
+
+async def serve(address: str, sources: abc.Mapping[str, Source]) -> None:
+    """Serve pages until cancelled.
+
+    Args:
+        address: ``host:port``.
+        sources: Pages by path.
+    """
+    host, _, port = address.rpartition(":")
+
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT):
+                await _answer_all(reader, writer, sources)
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            logger.debug("page request ended", extra={"reason": str(error)})
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(handle, host, int(port))
+    async with server:
+        await server.serve_forever()
+
+
+async def _answer_all(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+    sources: abc.Mapping[str, Source],
+) -> None:
+    connection = h11.Connection(h11.SERVER)
+    path = ""
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(READ_SIZE))
+        elif isinstance(event, h11.Request):
+            path = event.target.decode().partition("?")[0]
+        elif isinstance(event, h11.EndOfMessage):
+            source = sources.get(path)
+            page = source() if source else Page(status=404, body=b"not found\n")
+            writer.write(_encode(connection, page))
+            await writer.drain()
+            if connection.our_state is h11.MUST_CLOSE:
+                return
+            connection.start_next_cycle()
+        elif isinstance(event, h11.ConnectionClosed):
+            return
+
+
+def _encode(connection: h11.Connection, page: Page) -> bytes:
+    headers = [
+        ("Content-Type", page.content_type),
+        ("Content-Length", str(len(page.body))),
+    ]
+    data = connection.send(h11.Response(status_code=page.status, headers=headers)) or b""
+    data += connection.send(h11.Data(data=page.body)) or b""
+    return data + (connection.send(h11.EndOfMessage()) or b"")
--- /dev/null
+++ b/src/greengageshunt/frontends/readiness.py
@@ -0,0 +1,82 @@
+"""Tells the balancer whether this entry VM takes new connections."""
+
+import logging
+
+from greengageshunt import application, config, logs
+from greengageshunt.coordination import records
+from greengageshunt.frontends import pages
+
+logger = logging.getLogger(__name__)
+
+# Seconds without a confirmation of the target list, by the store or a peer, after which
+# other entry VMs serve new connections better.
+STALE_AFTER = 20.0
+
+
+def decide(*, stopping: bool, configured: bool, targets: int, age: float) -> tuple[bool, str]:
+    """Return whether an entry VM is ready, and why.
+
+    Args:
+        stopping: Whether a stop was requested.
+        configured: Whether a configuration is in force.
+        targets: Number of known targets.
+        age: Seconds since the target list was confirmed.
+    """
+    if stopping:
+        return False, "stopping"
+    if not configured:
+        return False, "no configuration"
+    if not targets:
+        return False, "no targets"
+    if age > STALE_AFTER:
+        return False, "the target list is not confirmed"
+    return True, "serving"
+
+
+class Readiness:
+    """Serves ``GET /readiness``."""
+
+    def __init__(self, *, app: application.Application) -> None:
+        self._app = app
+        self._view = app.part("coordination", "view")
+        self._configuration = app.part("configuration", "state")
+        self._told: tuple[bool, str] | None = None
+
+    async def run(self) -> None:
+        """Serve the page until cancelled."""
+        await pages.serve(self._app.settings["readiness.address"], {"/readiness": self._show})
+
+    def _show(self) -> pages.Page:
+        copy = self._view.copy(records.Section.TARGETS)
+        age = self._app.clock() - copy.as_of
+        ready, reason = told = decide(
+            stopping=self._app.stopping,
+            configured=self._configuration.version > 0,
+            targets=len(copy.rows),
+            age=age,
+        )
+        if told != self._told:
+            self._told = told
+            logs.log_decision(
+                logger,
+                "readiness",
+                ready=ready,
+                reason=reason,
+                configuration=self._configuration.version,
+                targets=len(copy.rows),
+                targets_age=round(age, 3),
+            )
+        return pages.Page(status=200 if ready else 503, body=f"{reason}\n".encode())
+
+
+def setup(app: application.Application) -> None:
+    """Register the readiness page."""
+    app.add_setting(
+        config.Setting(
+            key="readiness.address",
+            kind=str,
+            doc="Address of the readiness page that the balancer asks.",
+            check=config.is_address,
+        )
+    )
+    app.add_part("service", "readiness", lambda app: Readiness(app=app))
--- a/src/greengageshunt/membership/confirmation.py
+++ b/src/greengageshunt/membership/confirmation.py
@@ -10,7 +10,7 @@
 from collections import abc
 from typing import Any
 
-from greengageshunt import application, logs
+from greengageshunt import application, config, logs
 
 logger = logging.getLogger(__name__)
 
@@ -54,6 +54,7 @@
     def __init__(self, *, app: application.Application) -> None:
         self._view = app.part("membership", "view")
         self._configuration = app.part("configuration", "state")
+        self._limit = app.settings["confirmation.limit"]
         self._platform_at = -math.inf
         self._peers: dict[str, float] = {}
         self._settled = False
@@ -73,7 +74,7 @@
 
     def valid_until(self, now: float) -> float:
         """Return the monotonic seconds until which keys may be relied on."""
-        return self.confirmed_at(now) + CONFIRMATION_LIMIT
+        return self.confirmed_at(now) + self._limit
 
     def _majority_at(self, now: float) -> float:
         if not self._view.listed:
@@ -110,4 +111,13 @@
 
 def setup(app: application.Application) -> None:
     """Register the confirmation."""
+    app.add_setting(
+        config.Setting(
+            key="confirmation.limit",
+            kind=float,
+            default=CONFIRMATION_LIMIT,
+            doc="Seconds for which a confirmation of the keys by the platform or peers holds.",
+            check=config.is_positive,
+        )
+    )
     app.add_part("membership", "confirmation", lambda app: Confirmation(app=app))
--- a/src/greengageshunt/membership/shares_table.py
+++ b/src/greengageshunt/membership/shares_table.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import uuid
+from typing import Any
 
 from greengageshunt import application, codec, config, errors, logs
 from greengageshunt.membership import ownership, shares, shares_messages
@@ -28,7 +29,7 @@
 
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
-        self._platform = app.selected("platform")
+        self._platform = _rows(app)
         self._members = app.part("membership", "view")
         self._links = app.part("peers", "links")
         self._shares: shares.ShareView = app.part("membership", "shares")
@@ -180,6 +181,12 @@
             self._newer.set()
 
 
+def _rows(app: application.Application) -> Any:
+    """Return the plug-in that serves rows: the copy of the store where there is one."""
+    names = app.registry.names("rows")
+    return app.part("rows", names[0]) if names else app.selected("platform")
+
+
 def _check_holders(value: int) -> str | None:
     return None if value >= 1 else "an integer of at least 1"
 
--- a/src/greengageshunt/model.py
+++ b/src/greengageshunt/model.py
@@ -244,6 +244,57 @@
     require_replicated: bool = False
 
 
+class Consistency(enum.StrEnum):
+    """Which commits a read of a database must see.
+
+    ``PRIMARY``: all that were acknowledged before it. ``BOUNDED_STALENESS``: those
+    acknowledged longer ago than the staleness. ``READ_YOUR_WRITES``: these, and all
+    of the same session.
+    """
+
+    PRIMARY = "primary"
+    BOUNDED_STALENESS = "bounded_staleness"
+    READ_YOUR_WRITES = "read_your_writes"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Database:
+    """A database that sessions open by name.
+
+    Attributes:
+        name: Name that callers give when they open a session.
+        group: Group whose targets hold the database.
+        consistency: Which commits a read must see.
+        staleness: Seconds by which a read may lag behind the primary.
+        statement_timeout: Seconds that one statement may take.
+        latency_goal: Seconds within which a whole operation should end.
+        priority: Order among waiting operations; lower goes first.
+        open: Whether callers need no key.
+    """
+
+    name: str
+    group: str
+    consistency: Consistency
+    staleness: float
+    statement_timeout: float
+    latency_goal: float
+    priority: int
+    open: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class GroupLimits:
+    """Limits of the targets of a group.
+
+    Attributes:
+        group: Name of the group.
+        connection_limit: Connections that each target accepts from all callers.
+    """
+
+    group: str
+    connection_limit: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Configuration:
     """One version of what the operators set.
@@ -254,6 +305,9 @@
         keys: Keys, withdrawn ones included.
         routes: Routes.
         token_secret: Key of the session tokens' signature, in hexadecimal.
+        databases: Databases that sessions open by name.
+        groups: Limits of groups.
+        idle_transaction_limit: Seconds after which an idle transaction may be ended.
     """
 
     version: int
@@ -261,6 +315,9 @@
     keys: tuple[Key, ...]
     routes: tuple[Route, ...]
     token_secret: str
+    databases: tuple[Database, ...] = ()
+    groups: tuple[GroupLimits, ...] = ()
+    idle_transaction_limit: float = 0.0
 
     @functools.cached_property
     def accounts_by_name(self) -> abc.Mapping[str, ClientAccount]:
@@ -272,6 +329,21 @@
         """Keys by key id."""
         return {key.key_id: key for key in self.keys}
 
+    @functools.cached_property
+    def accounts_by_digest(self) -> abc.Mapping[str, str]:
+        """Names of client accounts by the digests of their keys that work."""
+        return {key.digest: key.account for key in self.keys if not key.withdrawn}
+
+    @functools.cached_property
+    def databases_by_name(self) -> abc.Mapping[str, Database]:
+        """Databases by name."""
+        return {database.name: database for database in self.databases}
+
+    @functools.cached_property
+    def groups_by_name(self) -> abc.Mapping[str, GroupLimits]:
+        """Limits by group."""
+        return {limits.group: limits for limits in self.groups}
+
     @functools.cached_property
     def routes_by_name(self) -> abc.Mapping[str, Route]:
         """Routes by name."""
--- /dev/null
+++ b/src/greengageshunt/platform/decoding.py
@@ -0,0 +1,113 @@
+"""The platform's documents as types of the product."""
+
+from typing import Any
+
+from greengageshunt import model
+from greengageshunt.configuration import keys
+from greengageshunt.coordination import records
+
+_MILLISECONDS = 0.001
+
+# The platform's `route-kind`.
+_CONSISTENCY = {
+    "primary": model.Consistency.PRIMARY,
+    "bounded_staleness": model.Consistency.BOUNDED_STALENESS,
+    "read_your_writes": model.Consistency.READ_YOUR_WRITES,
+}
+
+_STATES = ("ready", "draining")
+_ROLES = ("primary", "replica")
+
+
+class DecodeError(Exception):
+    """A document lacks a field, or has one of another type or value."""
+
+
+def _field(document: Any, name: str, kind: type | tuple[type, ...]) -> Any:
+    if not isinstance(document, dict):
+        raise DecodeError(f"expected an object, got {type(document).__name__}")
+    value = document.get(name)
+    wrong_bool = isinstance(value, bool) and kind is not bool
+    if not isinstance(value, kind) or wrong_bool:
+        raise DecodeError(f"{name}: unexpected {type(value).__name__}")
+    return value
+
+
+def _choice(document: Any, name: str, choices: tuple[str, ...]) -> str:
+    value = _field(document, name, str)
+    if value not in choices:
+        raise DecodeError(f"{name}: expected one of {', '.join(choices)}, got {value!r}")
+    return value
+
+
+def _database(route: Any) -> model.Database:
+    kind = _choice(route, "route-kind", tuple(_CONSISTENCY))
+    return model.Database(
+        # The platform's `host` of a route names the database that sessions open.
+        name=_field(route, "host", str),
+        # What the platform calls a service is one database group.
+        group=_field(route, "service", str),
+        consistency=_CONSISTENCY[kind],
+        staleness=float(route.get("max-staleness-ms") or 0) * _MILLISECONDS,
+        statement_timeout=_field(route, "timeout-ms", (int, float)) * _MILLISECONDS,
+        latency_goal=float(route.get("latency-goal-ms") or 0) * _MILLISECONDS,
+        priority=int(route.get("priority") or 0),
+        open=bool(route.get("public", False)),
+    )
+
+
+def configuration_of(document: Any) -> model.Configuration:
+    """Return the configuration of ``op/config``.
+
+    Raises:
+        DecodeError: A field is missing or malformed.
+    """
+    accounts, account_keys = [], []
+    for tenant in document.get("tenants") or []:
+        name = _field(tenant, "name", str)
+        accounts.append(
+            model.ClientAccount(
+                name=name,
+                weight=1.0,
+                rate=float(_field(tenant, "rate-per-s", (int, float))),
+                burst=float(_field(tenant, "burst", (int, float))),
+            )
+        )
+        for key in tenant.get("api-keys") or []:
+            # The platform's keys have no public part, so the digest serves as the id.
+            digest = keys.digest(key)
+            account_keys.append(model.Key(key_id=digest[:16], account=name, digest=digest))
+    limits = document.get("limits") or {}
+    return model.Configuration(
+        version=_field(document, "version", int),
+        accounts=tuple(accounts),
+        keys=tuple(account_keys),
+        routes=(),
+        token_secret="",
+        databases=tuple(_database(route) for route in _field(document, "routes", list)),
+        groups=tuple(
+            model.GroupLimits(
+                group=_field(service, "name", str),
+                connection_limit=int(service.get("max-conns") or 1),
+            )
+            for service in document.get("services") or []
+        ),
+        idle_transaction_limit=float(limits.get("tx-idle-ms") or 0) * _MILLISECONDS,
+    )
+
+
+def target_of(name: str, document: Any) -> records.TargetEntry:
+    """Return the target of a row ``servers/ID``.
+
+    Raises:
+        DecodeError: A field is missing or malformed, so that the row names no target.
+    """
+    return records.TargetEntry(
+        target=name,
+        group=_field(document, "service", str),
+        address=_field(document, "address", str),
+        failure_domain=_field(document, "zone", str),
+        slots=_field(document, "slots", int),
+        draining=_choice(document, "state", _STATES) == "draining",
+        primary=_choice(document, "db-role", _ROLES) == "primary",
+    )
--- /dev/null
+++ b/src/greengageshunt/platform/frontend.py
@@ -0,0 +1,183 @@
+"""Front end for callers that speak the line protocol: one task for each connection."""
+
+import asyncio
+import logging
+
+from returns import result
+
+from greengageshunt import application, config
+from greengageshunt.platform import wire
+from greengageshunt.pooling import session as session_module
+from greengageshunt.pooling import statements
+
+logger = logging.getLogger(__name__)
+
+STARTUP_TIMEOUT = 5.0  # seconds
+
+BACKLOG = 1024  # connections
+
+# Seconds after SIGTERM until the balancer sends no new connections: two questions a
+# second apart, and the time for the second one.
+ROTATION_DELAY = 2.3
+
+# Seconds between looks at sessions that may be closed.
+CLOSE_INTERVAL = 0.05
+
+# Part of the grace for which open transactions may go on.
+TRANSACTION_SHARE = 0.5
+
+# Seconds before the end of the grace at which all sessions are closed.
+CLOSE_MARGIN = 0.8
+
+
+class _Client:
+    """One connection of a caller."""
+
+    def __init__(self, *, writer: asyncio.StreamWriter) -> None:
+        self.writer = writer
+        self.session: session_module.Session | None = None
+        self.waiting = False
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no statement is on its way and no transaction is open."""
+        if self.waiting and (
+            self.session is None or self.session.state is statements.TransactionState.NONE
+        ):
+            self.writer.close()
+
+
+class LineFrontend:
+    """Accepts callers and hands their statements to sessions."""
+
+    def __init__(self, *, app: application.Application) -> None:
+        self._app = app
+        self._host: session_module.SessionHost = app.part("pooling", "sessions")
+        self._grace = app.settings["stop.grace"]
+        self._clients: set[_Client] = set()
+        self._closing = False
+
+    @property
+    def connections(self) -> int:
+        """Number of callers' connections."""
+        return len(self._clients)
+
+    async def run(self) -> None:
+        """Accept callers until cancelled."""
+        host, _, port = self._app.settings["sessions.address"].rpartition(":")
+        server = await asyncio.start_server(
+            self._serve, host, int(port), limit=wire.LINE_LIMIT, backlog=BACKLOG
+        )
+        async with server:
+            await server.serve_forever()
+
+    async def stop(self) -> None:
+        """Let operations end, and close the sessions between them."""
+        started_at = self._app.clock()
+        await asyncio.sleep(ROTATION_DELAY)
+        self._closing = True
+        end = started_at + self._grace - CLOSE_MARGIN
+        transactions_end = started_at + self._grace * TRANSACTION_SHARE
+        while self._clients and self._app.clock() < end:
+            for client in tuple(self._clients):
+                client.close_if_idle()
+            if self._app.clock() > transactions_end:
+                await self._abort_idle_transactions()
+            await asyncio.sleep(CLOSE_INTERVAL)
+        logger.info("sessions closed", extra={"cut": len(self._clients)})
+        for client in tuple(self._clients):
+            client.writer.close()
+
+    async def _abort_idle_transactions(self) -> None:
+        for client in tuple(self._clients):
+            if client.waiting and client.session is not None:
+                if client.session.state is statements.TransactionState.OPEN:
+                    await client.session.abort("the entry VM stops")
+                client.writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        client = _Client(writer=writer)
+        self._clients.add(client)
+        try:
+            session = await self._open(reader, writer)
+            if session is not None:
+                client.session = session
+                await self._converse(client, session, reader)
+        except (OSError, TimeoutError, ValueError, wire.WireError) as error:
+            logger.debug("caller left", extra={"reason": str(error) or type(error).__name__})
+        finally:
+            self._clients.discard(client)
+            if client.session is not None:
+                await client.session.close()
+            writer.close()
+
+    async def _open(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> session_module.Session | None:
+        async with asyncio.timeout(STARTUP_TIMEOUT):
+            database, key = wire.decode_startup(await reader.readline())
+        opened = self._host.open(database, key)
+        if isinstance(opened, result.Failure):
+            refused = opened.failure()
+            writer.write(wire.encode_error(refused.code, refused.message))
+            await writer.drain()
+            return None
+        writer.write(wire.encode_ready(statements.TransactionState.NONE))
+        await writer.drain()
+        return opened.unwrap()
+
+    async def _converse(
+        self,
+        client: _Client,
+        session: session_module.Session,
+        reader: asyncio.StreamReader,
+    ) -> None:
+        while True:
+            client.waiting = True
+            line = await self._next_line(session, reader)
+            client.waiting = False
+            if not line:
+                return
+            statement = wire.decode_query(line)
+            if statement is None:
+                return
+            answer = await session.handle(statement, self._app.clock())
+            client.writer.write(wire.encode_answer(answer))
+            await client.writer.drain()
+            if self._closing and session.state is statements.TransactionState.NONE:
+                return
+
+    async def _next_line(
+        self, session: session_module.Session, reader: asyncio.StreamReader
+    ) -> bytes:
+        """Return the next line; an idle transaction gives its connection back in between."""
+        limit = self._host.idle_transaction_limit
+        if session.holds_connection and limit > 0:
+            try:
+                async with asyncio.timeout(limit):
+                    return await reader.readline()
+            except TimeoutError:
+                await session.abort("the transaction was idle")
+        return await reader.readline()
+
+
+def setup(app: application.Application) -> None:
+    """Register the front end."""
+    app.add_setting(
+        config.Setting(
+            key="sessions.address",
+            kind=str,
+            doc="Address on which callers open sessions.",
+            check=config.is_address,
+        )
+    )
+    app.add_setting(
+        config.Setting(
+            key="stop.grace",
+            kind=float,
+            default=20.0,
+            doc="Seconds from SIGTERM until the process is killed.",
+            check=config.is_positive,
+        )
+    )
+    app.add_part("frontend", "lines", lambda app: LineFrontend(app=app))
+    app.add_part("service", "sessions", lambda app: app.part("frontend", "lines"))
--- /dev/null
+++ b/src/greengageshunt/platform/settings.py
@@ -0,0 +1,126 @@
+"""The platform's settings file, as settings of the product."""
+
+import pathlib
+from collections import abc
+
+from greengageshunt import config, errors
+
+# Milliseconds in the file, seconds in the product.
+_MILLISECONDS = 0.001
+
+# Setting of the product: (field of the file, factor).
+_NUMBERS = {
+    "stop.grace": ("bounds.grace-s", 1.0),
+    "confirmation.limit": ("bounds.contact-ms", _MILLISECONDS),
+}
+
+
+def read_fields(path: pathlib.Path) -> dict[str, str]:
+    """Return the fields of a settings file with lines of the form ``a.b=value``.
+
+    Raises:
+        SettingsError: The file cannot be read, or a line has no ``=``.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except OSError as error:
+        raise errors.SettingsError(f"{path}: cannot be read: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise errors.SettingsError(f"{path}: expected UTF-8 text: {error.reason}") from error
+    fields = {}
+    for number, line in enumerate(text.splitlines(), start=1):
+        if not line.strip() or line.lstrip().startswith("#"):
+            continue
+        name, separator, value = line.partition("=")
+        if not separator:
+            raise errors.SettingsError(f"{path}:{number}: expected name=value, got {line!r}")
+        fields[name.strip()] = value.strip()
+    return fields
+
+
+def _required(fields: abc.Mapping[str, str], name: str, source: str) -> str:
+    if not fields.get(name):
+        raise errors.SettingsError(f"{source}: {name}: missing; expected a value", peer=source)
+    return fields[name]
+
+
+def _address(fields: abc.Mapping[str, str], name: str, source: str) -> str:
+    value = _required(fields, name, source)
+    expectation = config.is_address(value)
+    if expectation:
+        raise errors.SettingsError(
+            f"{source}: {name}: expected {expectation}, got {value!r}", peer=source
+        )
+    return value
+
+
+def _number(fields: abc.Mapping[str, str], name: str, source: str) -> float:
+    value = _required(fields, name, source)
+    try:
+        number = float(value)
+    except ValueError:
+        number = -1.0
+    if not 0 <= number < float("inf"):
+        raise errors.SettingsError(
+            f"{source}: {name}: expected a number of at least 0, got {value!r}", peer=source
+        )
+    return number
+
+
+def _ports(fields: abc.Mapping[str, str], source: str) -> tuple[int, int]:
+    name = "internal-port-range"
+    value = _required(fields, name, source)
+    first, _, last = value.partition(",")
+    if not (first.isdigit() and last.isdigit() and 0 < int(first) < int(last) <= 65535):
+        raise errors.SettingsError(
+            f"{source}: {name}: expected two ports in rising order, got {value!r}", peer=source
+        )
+    return int(first), int(last)
+
+
+def values_of(fields: abc.Mapping[str, str], source: str) -> dict[str, object]:
+    """Return values of the product's settings.
+
+    Args:
+        fields: Fields of the file; unknown ones are ignored.
+        source: Name of the file for error messages.
+
+    Raises:
+        SettingsError: Names the file, the field and what was expected.
+    """
+    address = _required(fields, "ip", source)
+    peer_port, metrics_port = _ports(fields, source)
+    values: dict[str, object] = {
+        "vm.name": _required(fields, "node-name", source),
+        "vm.failure_domain": _required(fields, "zone", source),
+        "vm.peer_address": f"{address}:{peer_port}",
+        "metrics.address": f"{address}:{metrics_port}",
+        "sessions.address": _address(fields, "listen.front", source),
+        "readiness.address": _address(fields, "listen.ready", source),
+        "store.address": _address(fields, "platform.address", source),
+        "duties.address": _address(fields, "cloud.address", source),
+        "parts.platform": "table",
+        "parts.driver": "lines",
+    }
+    for key, (name, factor) in _NUMBERS.items():
+        values[key] = _number(fields, name, source) * factor
+    return values
+
+
+def load(path: pathlib.Path, declared: abc.Mapping[str, config.Setting]) -> config.Settings:
+    """Read and check the platform's settings file.
+
+    Raises:
+        SettingsError: Names the file, the field and what was expected.
+    """
+    source = str(path)
+    values = values_of(read_fields(path), source)
+    checked = {}
+    for key, setting in declared.items():
+        if key in values:
+            checked[key] = config.check_value(setting, values[key], source)
+        elif setting.required:
+            raise errors.SettingsError(f"{source}: {key}: the platform has no such field")
+        else:
+            checked[key] = setting.default
+    return config.Settings(values=checked, source=source)
--- /dev/null
+++ b/src/greengageshunt/platform/targets.py
@@ -0,0 +1,289 @@
+"""Driver for targets that speak the line protocol."""
+
+import asyncio
+import dataclasses
+import socket
+from collections import abc
+
+from greengageshunt import application, errors, model
+from greengageshunt.coordination import records
+from greengageshunt.platform import wire
+from greengageshunt.pooling import statements
+
+# Id of statements that no caller sent.
+_OWN_ID = "-"
+
+# Account under which the system itself connects for status and orders.
+SYSTEM_ACCOUNT = "-"
+
+# Milliseconds without an acknowledgement after which the kernel gives a connection up.
+TCP_USER_TIMEOUT_MS = 3000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetStatus:
+    """What a target says of itself.
+
+    Attributes:
+        primary: Whether it leads its group.
+        term: Term in which it leads or follows.
+        position: Last position that it received.
+    """
+
+    primary: bool
+    term: int
+    position: model.Position | None
+
+
+class LineConnection:
+    """One connection to a target; one task uses it at a time."""
+
+    def __init__(
+        self,
+        *,
+        entry: records.TargetEntry,
+        account: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._entry = entry
+        self._account = account
+        self._reader = reader
+        self._writer = writer
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, str] = {}
+        self.position: model.Position | None = None
+        self.used_at = 0.0
+        self._idle = True
+
+    @property
+    def entry(self) -> records.TargetEntry:
+        """Target at the far end."""
+        return self._entry
+
+    @property
+    def account(self) -> str:
+        """Client account to which the connection belongs."""
+        return self._account
+
+    @property
+    def closed(self) -> bool:
+        """Whether either end has closed the connection."""
+        return self._reader.at_eof() or self._writer.is_closing()
+
+    @property
+    def idle(self) -> bool:
+        """Whether no transaction is open and no answer is awaited."""
+        return self._idle
+
+    async def run(
+        self,
+        statement_id: str,
+        text: str,
+        *,
+        timeout: float,
+        after: model.Position | None = None,
+    ) -> statements.TargetAnswer:
+        """Run one statement and return the whole answer.
+
+        Args:
+            statement_id: Id of the statement.
+            text: Text of the statement.
+            timeout: Seconds to wait for the whole answer.
+            after: Position that the target's log must have, or None.
+
+        Raises:
+            TargetError: No whole answer; the connection is closed. Its ``code`` is
+                ``TIMEOUT`` if the time ran out.
+        """
+        step = text.partition(" ")[0].lower()
+        try:
+            async with asyncio.timeout(timeout):
+                self._writer.write(wire.encode_query(statement_id, text, after))
+                return await self._read_answer()
+        except TimeoutError as error:
+            self.abort()
+            raise self._error(f"no answer in {timeout:.3f} s", step, code="TIMEOUT") from error
+        except (OSError, EOFError, ValueError, wire.WireError) as error:
+            self.abort()
+            raise self._error(str(error) or type(error).__name__, step) from error
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+
+    async def set_up(
+        self, values: abc.Mapping[str, str], shapes: abc.Collection[str], timeout: float
+    ) -> None:
+        """Give the connection exactly these values, and prepare statements.
+
+        Args:
+            values: Values of the session.
+            shapes: Shapes that must be prepared.
+            timeout: Seconds to wait for all answers.
+
+        Raises:
+            TargetError: It did not work; the connection is closed.
+        """
+        texts = []
+        if not self.values.keys() <= values.keys():
+            texts.append("RESET")
+            self.values, self.prepared = {}, {}
+        for name, value in values.items():
+            if self.values.get(name) != value:
+                texts.append(f"SET {name} {value}")
+        names = {
+            shape: f"p{len(self.prepared) + i}"
+            for i, shape in enumerate(shape for shape in shapes if shape not in self.prepared)
+        }
+        texts.extend(f"PREPARE {name} {shape}" for shape, name in names.items())
+        if not texts:
+            return
+        try:
+            async with asyncio.timeout(timeout):
+                self._writer.write(b"".join(wire.encode_query(_OWN_ID, text) for text in texts))
+                answers = [await self._read_answer() for _ in texts]
+        except (OSError, EOFError, ValueError, wire.WireError, TimeoutError) as error:
+            self.abort()
+            raise self._error(str(error) or type(error).__name__, "set up") from error
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+        failed = [answer for answer in answers if answer.code]
+        if failed:
+            self.abort()
+            raise self._error(f"{failed[0].code} {failed[0].message}", "set up")
+        self.values = dict(values)
+        self.prepared.update(names)
+
+    async def status(self, timeout: float) -> TargetStatus:
+        """Return what the target says of itself.
+
+        Raises:
+            TargetError: No answer, or a refusal.
+        """
+        return await self._order("STATUS", timeout)
+
+    async def step_down(self, term: int, timeout: float) -> TargetStatus:
+        """Make a primary of a lower term a replica.
+
+        Raises:
+            TargetError: No answer, or a refusal.
+        """
+        return await self._order(f"STEPDOWN {term}", timeout)
+
+    async def _order(self, text: str, timeout: float) -> TargetStatus:
+        answer = await self.run(_OWN_ID, text, timeout=timeout)
+        step = text.partition(" ")[0].lower()
+        if answer.code or not answer.rows:
+            raise self._error(answer.message or "no row", step, code=answer.code)
+        try:
+            fields = wire.decode_line(answer.rows[0]).split(" ")
+            role, term, position = fields[1], int(fields[2]), wire.decode_position(fields[3])
+        except (IndexError, ValueError, wire.WireError) as error:
+            raise self._error(f"unreadable row: {error}", step) from error
+        return TargetStatus(primary=role == "primary", term=term, position=position)
+
+    def abort(self) -> None:
+        """Close the connection at once; the target rolls back what is open on it."""
+        self._writer.transport.abort()
+
+    def close(self) -> None:
+        """Close the connection after what was written."""
+        self._writer.close()
+
+    async def _read_answer(self) -> statements.TargetAnswer:
+        rows: list[bytes] = []
+        self._idle = False
+        signature, code, message = "", "", ""
+        while True:
+            line = await self._reader.readline()
+            if line.startswith(b"ROW "):
+                rows.append(line)
+                continue
+            word, _, rest = wire.decode_line(line).partition(" ")
+            if word == "COMPLETE":
+                signature = rest
+            elif word == "ERROR":
+                code, _, message = rest.partition(" ")
+            elif word == "READY":
+                state, _, place = rest.partition(" ")
+                position = wire.decode_position(place)
+                self._idle = state == "I"
+                if position is not None:
+                    self.position = position
+                if not signature and not code:
+                    raise wire.WireError("answer without COMPLETE or ERROR")
+                return statements.TargetAnswer(
+                    rows=tuple(rows),
+                    signature=signature,
+                    code=code,
+                    message=message,
+                    position=position,
+                )
+            else:
+                raise wire.WireError(f"unexpected message {word[:20]!r}")
+
+    async def start(self) -> None:
+        """Open the session at the target.
+
+        Raises:
+            TargetError: The target refused; its ``code`` says why.
+        """
+        entry = self._entry
+        self._writer.write(wire.encode_startup(entry.group, self._account, entry.target))
+        line = wire.decode_line(await self._reader.readline())
+        word, _, rest = line.partition(" ")
+        if word == "ERROR":
+            code, _, message = rest.partition(" ")
+            raise self._error(f"refused: {message}", "connect", code=code, sent=False)
+        if word != "READY":
+            raise wire.WireError(f"unexpected message {word[:20]!r}")
+        self.position = wire.decode_position(rest.partition(" ")[2])
+
+    def _error(
+        self, message: str, step: str, *, code: str = "", sent: bool = True
+    ) -> errors.TargetError:
+        return errors.TargetError(message, step=step, peer=self._entry.target, sent=sent, code=code)
+
+
+class LineDriver:
+    """Opens connections to targets."""
+
+    async def connect(
+        self, entry: records.TargetEntry, account: str, timeout: float
+    ) -> LineConnection:
+        """Open a connection that belongs to a client account.
+
+        Raises:
+            TargetError: The target refused, or did not answer in time.
+        """
+        host, _, port = entry.address.rpartition(":")
+        writer = None
+        try:
+            async with asyncio.timeout(timeout):
+                reader, writer = await asyncio.open_connection(
+                    host, int(port), limit=wire.LINE_LIMIT
+                )
+                raw = writer.get_extra_info("socket")
+                raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+                connection = LineConnection(
+                    entry=entry, account=account, reader=reader, writer=writer
+                )
+                await connection.start()
+                return connection
+        except BaseException as error:
+            if writer is not None:
+                writer.transport.abort()
+            if isinstance(error, (OSError, EOFError, ValueError, TimeoutError, wire.WireError)):
+                raise errors.TargetError(
+                    str(error) or type(error).__name__,
+                    step="connect",
+                    peer=entry.target,
+                    sent=False,
+                ) from error
+            raise
+
+
+def setup(app: application.Application) -> None:
+    """Register the driver."""
+    app.add_part("driver", "lines", lambda app: LineDriver())
--- /dev/null
+++ b/src/greengageshunt/pooling/__init__.py
@@ -0,0 +1,1 @@
+"""Client sessions over shared target connections."""
--- /dev/null
+++ b/src/greengageshunt/pooling/session.py
@@ -0,0 +1,795 @@
+"""Sessions of callers: values, prepared statements and the open transaction."""
+
+import asyncio
+import dataclasses
+import logging
+from collections import abc
+from typing import Any
+
+from returns import result
+
+from greengageshunt import application, errors, logs, model
+from greengageshunt.configuration import keys
+from greengageshunt.pooling import execution, statements
+
+logger = logging.getLogger(__name__)
+
+_NONE = statements.TransactionState.NONE
+_OPEN = statements.TransactionState.OPEN
+_FAILED = statements.TransactionState.FAILED
+
+# Account under which statements run that need no key.
+OPEN_ACCOUNT = "-"
+
+# Part of a statement's time limit for which it may wait for a connection.
+WAIT_SHARE = 0.9
+
+# Seconds after which a statement that found no connection may be tried again.
+BUSY_RETRY_AFTER = 0.1
+
+# Tries of one statement after answers which say that it did not run.
+TRIES = 4
+
+# Seconds before the next try at a group that is changing or overloaded.
+RETRY_DELAY = 0.02
+
+ROLLBACK_TIMEOUT = 0.5  # seconds
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Report:
+    """How a statement ended, for the metrics.
+
+    Attributes:
+        consistency: Consistency of the database; empty without one.
+        kind: Kind of the statement.
+        code: Code of the error, or ``ok``.
+        step: Step at which the error arose, or an empty string.
+        seconds: Seconds from the receipt to the answer.
+        replica: Whether a replica served it.
+    """
+
+    consistency: str
+    kind: str
+    code: str
+    step: str
+    seconds: float
+    replica: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Identity:
+    """Who opened a session, and which database.
+
+    Attributes:
+        database: Name of the database.
+        digest: Digest of the key, or an empty string.
+    """
+
+    database: str
+    digest: str
+
+
+@dataclasses.dataclass(kw_only=True)
+class Transaction:
+    """The open transaction of a session.
+
+    Attributes:
+        operation: The operation.
+        begin: Statement that began it. It is sent when the first one follows.
+        placement: Connection that it holds, or None before the first statement.
+        failed: Whether it can only be ended.
+        wrote: Whether it wrote.
+    """
+
+    operation: execution.Operation
+    begin: statements.Statement
+    placement: execution.Placement | None = None
+    failed: bool = False
+    wrote: bool = False
+
+
+def refusal(
+    code: statements.Code,
+    message: str,
+    *,
+    step: str,
+    peer: str = "",
+    retry_after: float | None = None,
+) -> errors.Refusal:
+    """Return an error for a caller; its code says whether the statement ran."""
+    not_run = code in statements.NOT_RUN or code in (
+        statements.Code.ABORTED,
+        statements.Code.DENIED,
+        statements.Code.NO_DATABASE,
+        statements.Code.MALFORMED,
+    )
+    return errors.Refusal(
+        code=code,
+        message=message,
+        outcome=errors.Outcome.NOT_RUN if not_run else errors.Outcome.UNKNOWN,
+        step=step,
+        peer=peer,
+        retry_after=retry_after,
+    )
+
+
+def authorize(
+    configuration: model.Configuration, identity: Identity
+) -> result.Result[tuple[model.Database, str], errors.Refusal]:
+    """Return the database and the client account of a session, by a configuration."""
+    database = configuration.databases_by_name.get(identity.database)
+    if database is None:
+        return result.Failure(
+            refusal(statements.Code.NO_DATABASE, "no such database", step="authorize")
+        )
+    account = configuration.accounts_by_digest.get(identity.digest)
+    if account is not None:
+        return result.Success((database, account))
+    if database.open:
+        return result.Success((database, OPEN_ACCOUNT))
+    return result.Failure(refusal(statements.Code.DENIED, "the key is unknown", step="authorize"))
+
+
+class Session:
+    """One session; its front end hands it one statement at a time."""
+
+    def __init__(self, *, host: "SessionHost", identity: Identity) -> None:
+        self._host = host
+        self._identity = identity
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, str] = {}
+        self._transaction: Transaction | None = None
+        self._position: model.Position | None = None
+
+    @property
+    def state(self) -> statements.TransactionState:
+        """State of the transaction."""
+        if self._transaction is None:
+            return _NONE
+        return _FAILED if self._transaction.failed else _OPEN
+
+    @property
+    def holds_connection(self) -> bool:
+        """Whether the open transaction keeps a connection from others."""
+        return self._transaction is not None and self._transaction.placement is not None
+
+    async def handle(
+        self, statement: statements.Statement, received_at: float
+    ) -> statements.CallerAnswer:
+        """Run one statement and return its answer."""
+        answer = await self._dispatch(statement, received_at)
+        return dataclasses.replace(answer, state=self.state)
+
+    async def abort(self, reason: str) -> None:
+        """End the open transaction; statements that follow in it are refused."""
+        if self._transaction is None:
+            return
+        operation = self._transaction.operation
+        logs.log_decision(
+            logger,
+            "abort-transaction",
+            request=operation.id,
+            account=operation.account,
+            reason=reason,
+        )
+        self._transaction.failed = True
+        await self._give_back(self._transaction)
+
+    async def close(self) -> None:
+        """End the session."""
+        if self._transaction is not None:
+            await self._give_back(self._transaction)
+            self._transaction = None
+
+    async def _dispatch(
+        self, statement: statements.Statement, received_at: float
+    ) -> statements.CallerAnswer:
+        kind = statement.kind
+        if self.state is _FAILED and kind not in (
+            statements.Kind.COMMIT,
+            statements.Kind.ROLLBACK,
+        ):
+            return self._refuse(statements.Code.MALFORMED, "the transaction failed", "session")
+        handler = self._handlers.get(kind)
+        if handler is not None:
+            return await handler(self, statement, received_at)
+        if kind is statements.Kind.EXECUTE and statement.name not in self._prepared:
+            if self._transaction is not None:
+                await self._fail(self._transaction)
+            return self._refuse(statements.Code.NO_STATEMENT, statement.name, "session")
+        if self._transaction is not None:
+            return await self._run_in_transaction(self._transaction, statement, received_at)
+        return await self._run_single(statement, received_at)
+
+    async def _set(
+        self, statement: statements.Statement, received_at: float
+    ) -> statements.CallerAnswer:
+        self._values[statement.name] = statement.value
+        return await self._update_held_connection()
+
+    async def _prepare(
+        self, statement: statements.Statement, received_at: float
+    ) -> statements.CallerAnswer:
+        self._prepared[statement.name] = statement.shape
+        return statements.CallerAnswer()
+
+    async def _close(
+        self, statement: statements.Statement, received_at: float
+    ) -> statements.CallerAnswer:
+        self._prepared.pop(statement.name, None)
+        return statements.CallerAnswer()
+
+    async def _malformed(
+        self, statement: statements.Statement, received_at: float
+    ) -> statements.CallerAnswer:
+        return self._refuse(statements.Code.MALFORMED, "unknown statement", "session")
+
+    async def _update_held_connection(self) -> statements.CallerAnswer:
+        """Give the connection of the open transaction the session's values."""
+        transaction = self._transaction
+        if transaction is None or transaction.placement is None:
+            return statements.CallerAnswer()
+        try:
+            await transaction.placement.connection.set_up(self._values, (), execution.SETUP_TIMEOUT)
+        except errors.TargetError as error:
+            await self._fail(transaction)
+            return self._refuse(statements.Code.ABORTED, str(error), error.step, error.peer)
+        return statements.CallerAnswer()
+
+    async def _admit(
+        self, statement: statements.Statement, received_at: float, *, primary_only: bool
+    ) -> result.Result[execution.Operation, errors.Refusal]:
+        """Check the key, the confirmation and the rate at the start of an operation."""
+        admitted = await self._host.admit(self._identity, statement.id, received_at)
+        if isinstance(admitted, result.Failure):
+            return admitted
+        database, account = admitted.unwrap()
+        return result.Success(
+            execution.Operation(
+                id=statement.id,
+                database=database,
+                account=account,
+                began_at=received_at,
+                primary_only=primary_only,
+                own_position=self._position,
+            )
+        )
+
+    async def _begin(
+        self, statement: statements.Statement, received_at: float
+    ) -> statements.CallerAnswer:
+        if self._transaction is not None:
+            await self._fail(self._transaction)
+            return self._refuse(statements.Code.MALFORMED, "a transaction is open", "session")
+        plain = statement.kind is statements.Kind.BEGIN
+        admitted = await self._admit(statement, received_at, primary_only=plain)
+        if isinstance(admitted, result.Failure):
+            return statements.CallerAnswer(refusal=admitted.failure())
+        self._transaction = Transaction(operation=admitted.unwrap(), begin=statement)
+        return statements.CallerAnswer()
+
+    async def _rollback(
+        self, statement: statements.Statement, received_at: float
+    ) -> statements.CallerAnswer:
+        transaction = self._transaction
+        if transaction is None:
+            return self._refuse(statements.Code.MALFORMED, "no transaction is open", "session")
+        self._transaction = None
+        await self._give_back(transaction, statement.id)
+        return statements.CallerAnswer()
+
+    async def _commit(
+        self, statement: statements.Statement, received_at: float
+    ) -> statements.CallerAnswer:
+        transaction = self._transaction
+        if transaction is None:
+            return self._refuse(statements.Code.MALFORMED, "no transaction is open", "session")
+        if transaction.failed:
+            self._transaction = None
+            await self._give_back(transaction)
+            return self._refuse(statements.Code.ABORTED, "the transaction failed", "session")
+        refused = await self._enter(transaction, (), received_at)
+        if refused is not None:
+            self._transaction = None
+            return statements.CallerAnswer(refusal=refused)
+        answer = await self._send(transaction, statement, statement.text, received_at)
+        self._transaction = None
+        await self._give_back(transaction)
+        return answer
+
+    async def _run_in_transaction(
+        self,
+        transaction: Transaction,
+        statement: statements.Statement,
+        received_at: float,
+    ) -> statements.CallerAnswer:
+        shapes = self._shapes(statement)
+        refused = await self._enter(transaction, shapes, received_at)
+        if refused is not None:
+            await self._fail(transaction)
+            return statements.CallerAnswer(refusal=refused)
+        transaction.wrote = transaction.wrote or self._writes(statement)
+        placement = transaction.placement
+        text = self._text(statement, placement)
+        answer = await self._send(transaction, statement, text, received_at)
+        if answer.refusal is not None:
+            await self._fail(transaction)
+        return answer
+
+    async def _enter(
+        self, transaction: Transaction, shapes: tuple[str, ...], received_at: float
+    ) -> errors.Refusal | None:
+        """Make sure that the transaction holds a connection; return why it cannot."""
+        deadline = received_at + transaction.operation.database.statement_timeout
+        if transaction.placement is not None:
+            try:
+                await transaction.placement.connection.set_up(
+                    self._values, shapes, execution.SETUP_TIMEOUT
+                )
+            except errors.TargetError as error:
+                return refusal(
+                    statements.Code.ABORTED, str(error), step=error.step, peer=error.peer
+                )
+            return None
+        tried: set[str] = set()
+        refused = None
+        for _ in range(TRIES):
+            placed = await self._place(transaction.operation, shapes, tried, received_at)
+            if isinstance(placed, result.Failure):
+                return refused or placed.failure()
+            placement = placed.unwrap()
+            begin = transaction.begin
+            try:
+                answer = await placement.connection.run(
+                    begin.id,
+                    begin.text,
+                    timeout=max(0.0, deadline - self._host.clock()),
+                    after=placement.after,
+                )
+            except errors.TargetError as error:
+                self._host.executor.note_failure(placement)
+                answer = None
+                refused = refusal(
+                    statements.Code.BUSY,
+                    str(error),
+                    step="begin",
+                    peer=error.peer,
+                    retry_after=BUSY_RETRY_AFTER,
+                )
+            else:
+                self._host.executor.note_answer(transaction.operation, placement, answer)
+                if not answer.code:
+                    transaction.placement = placement
+                    self._log(transaction.operation, placement, begin, "ok", received_at)
+                    return None
+                refused = refusal(
+                    statements.Code.BUSY,
+                    f"{answer.code} {answer.message}",
+                    step="begin",
+                    peer=placement.target,
+                    retry_after=BUSY_RETRY_AFTER,
+                )
+            placement.pool.release(placement.connection)
+            tried.add(placement.target)
+            self._log(transaction.operation, placement, begin, refused.message, received_at)
+        return refused
+
+    async def _send(
+        self,
+        transaction: Transaction,
+        statement: statements.Statement,
+        text: str,
+        received_at: float,
+    ) -> statements.CallerAnswer:
+        """Send a statement or the commit of a transaction on its connection."""
+        placement = transaction.placement
+        operation = transaction.operation
+        commit = statement.kind is statements.Kind.COMMIT
+        ends_write = commit and transaction.wrote
+        answer = await self._run_on(operation, placement, statement, text, received_at, ends_write)
+        if isinstance(answer, errors.TargetError):
+            if not commit:
+                return self._broken(answer, operation, placement, statement, received_at)
+            code = statements.Code.INDOUBT if transaction.wrote else statements.Code.ABORTED
+            self._log(operation, placement, statement, code, received_at, str(answer))
+            return self._refuse(code, str(answer), answer.step, answer.peer)
+        if answer.code:
+            return self._target_error(answer, operation, placement, statement, received_at)
+        if ends_write:
+            return self._acknowledge(answer, operation, placement, statement, received_at)
+        self._log(operation, placement, statement, "ok", received_at)
+        return statements.CallerAnswer(rows=answer.rows, signature=answer.signature)
+
+    async def _run_single(
+        self, statement: statements.Statement, received_at: float
+    ) -> statements.CallerAnswer:
+        writes = self._writes(statement)
+        admitted = await self._admit(statement, received_at, primary_only=writes)
+        if isinstance(admitted, result.Failure):
+            return statements.CallerAnswer(refusal=admitted.failure())
+        operation = admitted.unwrap()
+        shapes = self._shapes(statement)
+        tried: set[str] = set()
+        refused: statements.CallerAnswer | None = None
+        for _ in range(TRIES):
+            placed = await self._place(operation, shapes, tried, received_at)
+            if isinstance(placed, result.Failure):
+                if refused is None:
+                    refused = statements.CallerAnswer(refusal=placed.failure())
+                return refused
+            placement = placed.unwrap()
+            text = self._text(statement, placement)
+            answer = await self._run_on(operation, placement, statement, text, received_at, writes)
+            placement.pool.release(placement.connection)
+            if isinstance(answer, errors.TargetError):
+                refused = self._broken(answer, operation, placement, statement, received_at)
+                retry = not writes and answer.code != statements.Code.TIMEOUT
+            elif answer.code:
+                refused = self._target_error(answer, operation, placement, statement, received_at)
+                retry = answer.code in statements.NOT_RUN or (
+                    not writes and answer.code == statements.Code.FAILED
+                )
+                if answer.code == statements.Code.NO_STATEMENT:
+                    placement.connection.prepared.clear()
+            elif writes:
+                return self._acknowledge(answer, operation, placement, statement, received_at)
+            else:
+                seconds = self._host.clock() - placement.checked_at
+                self._host.executor.note_read(placement, seconds)
+                self._log(operation, placement, statement, "ok", received_at)
+                return statements.CallerAnswer(rows=answer.rows, signature=answer.signature)
+            if not retry:
+                return refused
+            tried.add(placement.target)
+            if placement.primary:
+                await asyncio.sleep(RETRY_DELAY)
+        return refused
+
+    async def _run_on(
+        self,
+        operation: execution.Operation,
+        placement: execution.Placement,
+        statement: statements.Statement,
+        text: str,
+        received_at: float,
+        writes: bool,
+    ) -> statements.TargetAnswer | errors.TargetError:
+        """Run a statement on a connection; an error without an answer is returned."""
+        executor = self._host.executor
+        deadline = received_at + operation.database.statement_timeout
+        # Reads inside a transaction follow the position that its start required.
+        after = placement.after if self._transaction is None else None
+        if writes:
+            executor.begin_write(operation.database.group)
+        try:
+            answer = await placement.connection.run(
+                statement.id,
+                text,
+                timeout=max(0.0, deadline - self._host.clock()),
+                after=after,
+            )
+        except errors.TargetError as error:
+            executor.note_failure(placement)
+            return error
+        finally:
+            if writes:
+                executor.end_write(operation.database.group)
+        executor.note_answer(operation, placement, answer)
+        return answer
+
+    def _acknowledge(
+        self,
+        answer: statements.TargetAnswer,
+        operation: execution.Operation,
+        placement: execution.Placement,
+        statement: statements.Statement,
+        received_at: float,
+    ) -> statements.CallerAnswer:
+        """Acknowledge a write, if the target may still have been the primary."""
+        if not self._host.executor.confirmed(placement):
+            reason = "the permission to use the primary ended before its answer"
+            self._log(operation, placement, statement, "INDOUBT", received_at, reason)
+            return self._refuse(statements.Code.INDOUBT, reason, "commit", placement.target)
+        self._position = answer.position or self._position
+        self._log(operation, placement, statement, "ok", received_at)
+        return statements.CallerAnswer(rows=answer.rows, signature=answer.signature)
+
+    def _broken(
+        self,
+        error: errors.TargetError,
+        operation: execution.Operation,
+        placement: execution.Placement,
+        statement: statements.Statement,
+        received_at: float,
+    ) -> statements.CallerAnswer:
+        """Return the answer to a statement whose connection broke or gave no answer."""
+        if self._transaction is not None:
+            # The target rolls back what is open on a closed connection.
+            code = statements.Code.ABORTED
+        elif self._writes(statement):
+            code = statements.Code.INDOUBT
+        elif error.code == statements.Code.TIMEOUT:
+            code = statements.Code.TIMEOUT
+        else:
+            code = statements.Code.BUSY
+        self._log(operation, placement, statement, code, received_at, str(error))
+        return self._refuse(code, str(error), error.step, error.peer)
+
+    def _target_error(
+        self,
+        answer: statements.TargetAnswer,
+        operation: execution.Operation,
+        placement: execution.Placement,
+        statement: statements.Statement,
+        received_at: float,
+    ) -> statements.CallerAnswer:
+        """Return the answer to a statement that its target refused or failed."""
+        self._log(operation, placement, statement, answer.code, received_at, answer.message)
+        known = answer.code in set(statements.Code)
+        code = statements.Code(answer.code) if known else statements.Code.FAILED
+        if code is statements.Code.NO_STATEMENT:
+            code = statements.Code.BUSY
+        retry_after = BUSY_RETRY_AFTER if code in statements.NOT_RUN else None
+        return statements.CallerAnswer(
+            refusal=refusal(
+                code,
+                answer.message,
+                step="target",
+                peer=placement.target,
+                retry_after=retry_after,
+            )
+        )
+
+    async def _place(
+        self,
+        operation: execution.Operation,
+        shapes: tuple[str, ...],
+        tried: set[str],
+        received_at: float,
+    ) -> result.Result[execution.Placement, errors.Refusal]:
+        wait = operation.database.statement_timeout * WAIT_SHARE
+        try:
+            placement = await self._host.executor.place(
+                operation, self._values, shapes, tried, received_at + wait
+            )
+        except execution.NotPlacedError as error:
+            logs.log_decision(
+                logger,
+                "not-placed",
+                level=logging.WARNING,
+                request=operation.id,
+                account=operation.account,
+                database=operation.database.name,
+                group=operation.database.group,
+                reason=str(error),
+                waited=self._host.clock() - received_at,
+                outcome="BUSY",
+            )
+            return result.Failure(
+                refusal(
+                    statements.Code.BUSY,
+                    str(error),
+                    step="place",
+                    peer=error.peer,
+                    retry_after=BUSY_RETRY_AFTER,
+                )
+            )
+        return result.Success(placement)
+
+    async def _fail(self, transaction: Transaction) -> None:
+        transaction.failed = True
+        await self._give_back(transaction)
+
+    async def _give_back(self, transaction: Transaction, statement_id: str = "") -> None:
+        """Release the connection of a transaction; the pool closes one that is still in it."""
+        placement, transaction.placement = transaction.placement, None
+        if placement is None:
+            return
+        connection = placement.connection
+        try:
+            if statement_id and not connection.closed:
+                await connection.run(statement_id, "ROLLBACK", timeout=ROLLBACK_TIMEOUT)
+        except errors.TargetError as error:
+            logger.info("rollback failed", extra={"peer": error.peer, "reason": str(error)})
+        finally:
+            placement.pool.release(connection)
+
+    def _shapes(self, statement: statements.Statement) -> tuple[str, ...]:
+        if statement.kind is not statements.Kind.EXECUTE:
+            return ()
+        return (self._prepared[statement.name],)
+
+    def _text(self, statement: statements.Statement, placement: execution.Placement) -> str:
+        """Return the text for a connection, where prepared statements have its own names."""
+        if statement.kind is not statements.Kind.EXECUTE:
+            return statement.text
+        name = placement.connection.prepared[self._prepared[statement.name]]
+        return f"EXECUTE {name} {statement.arguments}"
+
+    def _writes(self, statement: statements.Statement) -> bool:
+        if statement.kind is statements.Kind.EXECUTE:
+            return self._prepared[statement.name].startswith("WRITE")
+        return statement.kind is statements.Kind.WRITE
+
+    def _refuse(
+        self, code: statements.Code, message: str, step: str, peer: str = ""
+    ) -> statements.CallerAnswer:
+        retry_after = BUSY_RETRY_AFTER if code in statements.NOT_RUN else None
+        return statements.CallerAnswer(
+            refusal=refusal(code, message, step=step, peer=peer, retry_after=retry_after)
+        )
+
+    def _log(
+        self,
+        operation: execution.Operation,
+        placement: execution.Placement,
+        statement: statements.Statement,
+        outcome: str,
+        received_at: float,
+        reason: str = "",
+    ) -> None:
+        now = self._host.clock()
+        served = outcome == "ok"
+        logs.log_decision(
+            logger,
+            "route",
+            level=logging.INFO if served else logging.WARNING,
+            request=statement.id,
+            operation=operation.id,
+            account=operation.account,
+            database=operation.database.name,
+            statement=statement.kind.value,
+            target=placement.target,
+            primary=placement.primary,
+            after=str(placement.after) if placement.after else "",
+            choice=placement.reason,
+            lease_age=round(now - placement.checked_at, 4),
+            record=placement.version,
+            seconds=round(now - received_at, 4),
+            outcome=outcome,
+            reason=reason,
+        )
+        self._host.report(
+            Report(
+                consistency=operation.database.consistency.value,
+                kind=statement.kind.value,
+                code=outcome,
+                step="target",
+                seconds=now - received_at,
+                replica=not placement.primary,
+            )
+        )
+
+    _handlers: abc.Mapping[statements.Kind, Any] = {
+        statements.Kind.SET: _set,
+        statements.Kind.PREPARE: _prepare,
+        statements.Kind.CLOSE: _close,
+        statements.Kind.MALFORMED: _malformed,
+        statements.Kind.BEGIN: _begin,
+        statements.Kind.BEGIN_READ: _begin,
+        statements.Kind.COMMIT: _commit,
+        statements.Kind.ROLLBACK: _rollback,
+    }
+
+
+class SessionHost:
+    """Opens sessions, and admits their operations."""
+
+    def __init__(self, *, app: application.Application) -> None:
+        self._app = app
+        self._configuration = app.part("configuration", "state")
+        self._confirmation = app.part("membership", "confirmation")
+        self._admission = app.selected("admission")
+        self._executor = app.part("pooling", "executor")
+
+    @property
+    def executor(self) -> execution.Executor:
+        """What runs statements."""
+        return self._executor
+
+    @property
+    def idle_transaction_limit(self) -> float:
+        """Seconds after which an idle transaction may be ended."""
+        return self._configuration.current.idle_transaction_limit
+
+    def clock(self) -> float:
+        """Return monotonic seconds."""
+        return self._app.clock()
+
+    def open(self, database: str, key: str) -> result.Result[Session, errors.Refusal]:
+        """Open a session, or say why not."""
+        configuration = self._configuration.current
+        identity = Identity(database=database, digest=keys.digest(key) if key else "")
+        if not configuration.version:
+            refused = refusal(
+                statements.Code.BUSY,
+                "no configuration yet",
+                step="open",
+                retry_after=BUSY_RETRY_AFTER,
+            )
+            return result.Failure(refused)
+        authorized = authorize(configuration, identity)
+        if isinstance(authorized, result.Failure):
+            self._log_refused("open-session", "", identity, authorized.failure())
+            return authorized
+        return result.Success(Session(host=self, identity=identity))
+
+    async def admit(
+        self, identity: Identity, request: str, received_at: float
+    ) -> result.Result[tuple[model.Database, str], errors.Refusal]:
+        """Check key, confirmation and rate of an operation by the newest configuration."""
+        configuration = self._configuration.current
+        authorized = authorize(configuration, identity)
+        if isinstance(authorized, result.Failure):
+            self._log_refused("authorize", request, identity, authorized.failure())
+            return authorized
+        database, account = authorized.unwrap()
+        if account == OPEN_ACCOUNT:
+            return authorized
+        if self._app.clock() >= self._confirmation.valid_until(self._app.clock()):
+            refused = refusal(
+                statements.Code.BUSY,
+                "keys are not confirmed",
+                step="confirm",
+                retry_after=1.0,
+            )
+            self._log_refused("confirm", request, identity, refused)
+            return result.Failure(refused)
+        limits = configuration.accounts_by_name[account]
+        deadline = received_at + database.latency_goal
+        decided = await self._admission.admit(limits, deadline)
+        if decided.admitted:
+            return authorized
+        refused = refusal(
+            statements.Code.BUSY,
+            "the account is above its rate",
+            step="admit",
+            retry_after=decided.retry_after,
+        )
+        self._log_refused("admit", request, identity, refused, account, decided.reason)
+        return result.Failure(refused)
+
+    def report(self, report: Report) -> None:
+        """Tell the metrics how a statement ended."""
+        self._app.events.emit("statement-ended", report)
+
+    def _log_refused(
+        self,
+        step: str,
+        request: str,
+        identity: Identity,
+        refused: errors.Refusal,
+        account: str = "",
+        reason: str = "",
+    ) -> None:
+        now = self._app.clock()
+        logs.log_decision(
+            logger,
+            step,
+            level=logging.WARNING,
+            request=request,
+            account=account,
+            database=identity.database,
+            key=identity.digest[:8],
+            configuration=self._configuration.version,
+            configuration_age=round(now - self._confirmation.confirmed_at(now), 3),
+            outcome=refused.code,
+            reason=reason or refused.message,
+        )
+        self.report(
+            Report(
+                consistency="",
+                kind="",
+                code=refused.code,
+                step=refused.step,
+                seconds=0.0,
+                replica=False,
+            )
+        )
+
+
+def setup(app: application.Application) -> None:
+    """Register the sessions."""
+    app.add_event("statement-ended")
+    app.add_part("pooling", "sessions", lambda app: SessionHost(app=app))
--- /dev/null
+++ b/src/greengageshunt/pooling/statements.py
@@ -0,0 +1,120 @@
+"""Frozen types of statements and their answers, as sessions and target connections see them."""
+
+import dataclasses
+import enum
+
+from greengageshunt import errors, model
+
+
+class Kind(enum.Enum):
+    """What a statement does."""
+
+    BEGIN = "begin"
+    BEGIN_READ = "begin_read"
+    COMMIT = "commit"
+    ROLLBACK = "rollback"
+    READ = "read"
+    WRITE = "write"
+    SET = "set"
+    PREPARE = "prepare"
+    EXECUTE = "execute"
+    CLOSE = "close"
+    MALFORMED = "malformed"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Statement:
+    """One statement of a caller.
+
+    Attributes:
+        id: Id that the caller chose.
+        kind: What it does.
+        text: Text as the caller sent it.
+        name: Name of a value or of a prepared statement.
+        value: Value that ``SET`` gives.
+        shape: Kind and shape that ``PREPARE`` names, as one text.
+        arguments: What follows the name of an executed prepared statement.
+    """
+
+    id: str
+    kind: Kind
+    text: str
+    name: str = ""
+    value: str = ""
+    shape: str = ""
+    arguments: str = ""
+
+
+class TransactionState(enum.Enum):
+    """State of a session's transaction."""
+
+    NONE = "none"
+    OPEN = "open"
+    FAILED = "failed"
+
+
+class Code(enum.StrEnum):
+    """Codes of errors that callers see."""
+
+    BUSY = "BUSY"
+    ABORTED = "ABORTED"
+    DENIED = "DENIED"
+    FAILED = "FAILED"
+    INDOUBT = "INDOUBT"
+    LAGGING = "LAGGING"
+    MALFORMED = "MALFORMED"
+    MISROUTED = "MISROUTED"
+    CONNECTION_LIMIT = "CONNLIMIT"
+    NO_DATABASE = "NODB"
+    NO_STATEMENT = "NOSTMT"
+    READ_ONLY = "READONLY"
+    TIMEOUT = "TIMEOUT"
+
+
+# Errors of a target that say that the statement did not run.
+NOT_RUN = frozenset(
+    {
+        Code.BUSY,
+        Code.NO_STATEMENT,
+        Code.LAGGING,
+        Code.READ_ONLY,
+        Code.MISROUTED,
+        Code.CONNECTION_LIMIT,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class TargetAnswer:
+    """Whole answer of a target to one statement.
+
+    Attributes:
+        rows: Rows, unread.
+        signature: What proves that the target ran the statement; empty after an error.
+        code: Code of an error, or an empty string.
+        message: Text of an error.
+        position: Position of the target's log, or None.
+    """
+
+    rows: tuple[bytes, ...]
+    signature: str
+    code: str
+    message: str
+    position: model.Position | None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class CallerAnswer:
+    """Answer to one statement of a caller.
+
+    Attributes:
+        rows: Rows, unread.
+        signature: Signature of the target, or ``-`` where the session answered itself.
+        refusal: Error instead of a success, or None.
+        state: State of the session's transaction afterwards.
+    """
+
+    rows: tuple[bytes, ...] = ()
+    signature: str = "-"
+    refusal: errors.Refusal | None = None
+    state: TransactionState = TransactionState.NONE
--- a/src/greengageshunt/programs/common.py
+++ b/src/greengageshunt/programs/common.py
@@ -2,14 +2,21 @@
 
 import argparse
 import asyncio
+import logging
+import os
 import pathlib
 import sys
 from collections import abc
 
 from greengageshunt import application, config, errors, logs
 
+logger = logging.getLogger(__name__)
+
 EXIT_SETTINGS = 2
 
+# Reads a settings file and checks it against the declared settings.
+Load = abc.Callable[[pathlib.Path, abc.Mapping[str, config.Setting]], config.Settings]
+
 # Default name of the part that serves each role.
 _SELECTED_PARTS = {
     "admission": "leased_shares",
@@ -68,21 +75,64 @@
             )
 
 
-def run_daemon(name: str, description: str, extensions: abc.Iterable[str]) -> None:
-    """Run a daemon from its command line until it is stopped."""
+def run_daemon(
+    name: str,
+    description: str,
+    extensions: abc.Iterable[str],
+    *,
+    load: Load = config.load,
+    settings_variable: str = "",
+) -> None:
+    """Run a daemon from its command line until it is stopped.
+
+    Args:
+        name: Name of the program.
+        description: What it does, for its help text.
+        extensions: Modules of its plug-ins.
+        load: Reads the settings file.
+        settings_variable: Environment variable that names the settings file if the
+            command line does not; empty for none.
+    """
     parser = argparse.ArgumentParser(prog=name, description=description)
-    parser.add_argument("--settings", type=pathlib.Path, required=True, help="TOML settings file")
-    arguments = parser.parse_args()
+    default = os.environ.get(settings_variable) if settings_variable else None
+    parser.add_argument(
+        "--settings",
+        type=pathlib.Path,
+        required=default is None,
+        default=default,
+        help="settings file" + (f"; by default ${settings_variable}" if settings_variable else ""),
+    )
+    path = pathlib.Path(parser.parse_args().settings)
 
     async def run() -> None:
         app = create(name, extensions)
-        app.configure(config.load(arguments.settings, app.declared_settings))
+        app.configure(load(path, app.declared_settings))
         check_parts(app)
-        logs.configure(app.settings["log.level"])
-        await app.run()
+        handler = logs.configure(
+            app.settings["log.level"], program=name, vm=app.settings["vm.name"]
+        )
+        app.on_reload(lambda: _reload(app, path, load))
+        writing = asyncio.create_task(logs.write_regularly(handler), name="logs")
+        try:
+            await app.run()
+        finally:
+            writing.cancel()
+            await asyncio.gather(writing, return_exceptions=True)
 
     try:
         asyncio.run(run())
     except errors.SettingsError as error:
         print(f"{name}: {error}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
+
+
+def _reload(app: application.Application, path: pathlib.Path, load: Load) -> None:
+    """Read the settings file again; the log level applies at once, the rest after a restart."""
+    try:
+        settings = load(path, app.declared_settings)
+    except errors.SettingsError as error:
+        logger.error("settings not reloaded", extra={"reason": str(error)})
+        return
+    changed = sorted(key for key in app.declared_settings if settings[key] != app.settings[key])
+    logging.getLogger().setLevel(settings["log.level"])
+    logger.info("settings reloaded", extra={"path": str(path), "need_restart": changed})
--- /dev/null
+++ b/src/greengageshunt/stores/connection.py
@@ -0,0 +1,158 @@
+"""HTTP/1.1 calls over kept connections, with ``h11`` as the codec."""
+
+import asyncio
+import dataclasses
+import socket
+from collections import abc
+
+import h11
+
+READ_SIZE = 65536  # bytes
+
+# Kept connections that wait for their next call.
+IDLE_LIMIT = 6
+
+# Milliseconds without an acknowledgement after which the kernel gives a connection up.
+TCP_USER_TIMEOUT_MS = 2000
+
+CONNECT_TIMEOUT = 1.0  # seconds
+
+
+class CallError(Exception):
+    """A call got no answer.
+
+    Attributes:
+        sent: Whether the request may have reached the server.
+    """
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Response:
+    """Answer to a call."""
+
+    status: int
+    body: bytes
+
+
+class _Connection:
+    """One connection and its protocol state."""
+
+    def __init__(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._protocol = h11.Connection(h11.CLIENT)
+
+    @property
+    def reusable(self) -> bool:
+        return (
+            self._protocol.our_state is h11.IDLE
+            and not self._reader.at_eof()
+            and not self._writer.is_closing()
+        )
+
+    async def exchange(self, request: h11.Request, body: bytes) -> Response:
+        data = self._protocol.send(request) or b""
+        if body:
+            data += self._protocol.send(h11.Data(data=body)) or b""
+        data += self._protocol.send(h11.EndOfMessage()) or b""
+        self._writer.write(data)
+        await self._writer.drain()
+        status, chunks = 0, []
+        while True:
+            event = self._protocol.next_event()
+            if event is h11.NEED_DATA:
+                self._protocol.receive_data(await self._reader.read(READ_SIZE))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError("closed before the answer")
+        if self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE:
+            self._protocol.start_next_cycle()
+        return Response(status=status, body=b"".join(chunks))
+
+    def abort(self) -> None:
+        self._writer.transport.abort()
+
+
+class HttpCaller:
+    """Calls one server."""
+
+    def __init__(self, *, address: str) -> None:
+        self._address = address
+        host, _, port = address.rpartition(":")
+        self._host = host
+        self._port = int(port)
+        self._idle: list[_Connection] = []
+
+    @property
+    def address(self) -> str:
+        """``host:port`` of the server."""
+        return self._address
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        headers: abc.Mapping[str, str] | None = None,
+        timeout: float,
+    ) -> Response:
+        """Send a request and return its answer.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: Body, sent as JSON.
+            headers: Further headers.
+            timeout: Seconds to wait for the answer.
+
+        Raises:
+            CallError: No answer in time, or the connection failed.
+        """
+        lines = [("Host", self._address), ("Content-Length", str(len(body)))]
+        if body:
+            lines.append(("Content-Type", "application/json"))
+        lines.extend((headers or {}).items())
+        request = h11.Request(method=method, target=path, headers=lines)
+        connection: _Connection | None = None
+        sent = False
+        try:
+            async with asyncio.timeout(timeout):
+                connection = await self._connection()
+                sent = True
+                response = await connection.exchange(request, body)
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
+            if connection is not None:
+                connection.abort()
+            reason = str(error) or type(error).__name__
+            raise CallError(f"{method} {path.partition('?')[0]}: {reason}", sent=sent) from error
+        except asyncio.CancelledError:
+            if connection is not None:
+                connection.abort()
+            raise
+        if connection.reusable and len(self._idle) < IDLE_LIMIT:
+            self._idle.append(connection)
+        else:
+            connection.abort()
+        return response
+
+    async def _connection(self) -> _Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                return connection
+            connection.abort()
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            reader, writer = await asyncio.open_connection(self._host, self._port)
+        raw = writer.get_extra_info("socket")
+        raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
+        return _Connection(reader=reader, writer=writer)
