--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -63,13 +63,13 @@
 
     async def _watch(self, section: records.Section, wait: float) -> None:
         delay = SHORTEST_DELAY
-        known = 0
+        known: int | None = None
         while True:
             try:
                 known = await self._read(section, known, wait)
             except errors.HistoryLostError as error:
                 logs.log_decision(logger, "read-whole", section=section, reason=str(error))
-                known = 0
+                known = None
                 continue
             except errors.PlatformError as error:
                 self._note_availability(section, False, str(error))
@@ -79,9 +79,9 @@
             delay = SHORTEST_DELAY
             self._note_availability(section, True, "")
 
-    async def _read(self, section: records.Section, known: int, wait: float) -> int:
+    async def _read(self, section: records.Section, known: int | None, wait: float) -> int:
         """Read a section whole or what changed; return the version that is known now."""
-        if known:
+        if known is not None:
             changes = await self._store.changes(section, known, wait)
         else:
             changes = await self._store.read(section)
