--- a/src/greengageshunt/coordination/lease.py
+++ b/src/greengageshunt/coordination/lease.py
@@ -1,10 +1,10 @@
 """Permission to use the primary of a group.
 
-An old primary that is cut off goes on answering, so nothing that a target says proves that it still
-leads. An entry VM uses a primary only within ``LEASE`` seconds of the time as of which the store held no
-other record of the group. Who changes the primary writes first that a change is in progress,
-and goes on once every registered process has confirmed that it stopped, or the
-permissions have ended.
+An old primary that is cut off goes on answering, so nothing that a target says proves that
+it still leads. An entry VM uses a primary only within ``LEASE`` seconds of the time as of
+which the store held no other record of the group. Who changes the primary writes first that
+a change is in progress, and goes on once every registered process has confirmed that it
+stopped, or the permissions have ended.
 """
 
 import dataclasses
--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -1,8 +1,9 @@
 """Changes the primary of a group when it fails or leaves.
 
-Each change is a conditional write of the group's record with a higher fencing token, then the recall
-of all permissions, then the order to the platform. An order whose answer is lost may be carried
-out later, so every change ends with an order of its own token, which fences off earlier ones.
+Each change is a conditional write of the group's record with a higher fencing token, then
+the recall of all permissions, then the order to the platform. An order whose answer is lost
+may be carried out later, so every change ends with an order of its own token, which fences
+off earlier ones.
 """
 
 import asyncio
--- a/src/greengageshunt/logs.py
+++ b/src/greengageshunt/logs.py
@@ -1,7 +1,8 @@
 """JSON logs and the log line of each decision.
 
-Lines wait in a bounded buffer and are written when standard output takes them, so that a slow reader
-never delays a request. Above the rate limit, lines of what went well are left out first.
+Lines wait in a bounded buffer and are written when standard output takes them, so that a
+slow reader never delays a request. Above the rate limit, lines of what went well are left
+out first.
 """
 
 from __future__ import annotations
@@ -155,6 +156,12 @@
     return handler
 
 
+def dropped() -> int:
+    """Return how many lines this process has left out."""
+    handlers = logging.getLogger().handlers
+    return sum(item.dropped for item in handlers if isinstance(item, BufferedHandler))
+
+
 async def write_regularly(handler: BufferedHandler) -> None:
     """Write waiting lines until cancelled."""
     try:
--- a/src/greengageshunt/membership/view.py
+++ b/src/greengageshunt/membership/view.py
@@ -1,6 +1,6 @@
 """The member view of one entry VM."""
 
-from greengageshunt import application, model
+from greengageshunt import application, config, model
 from greengageshunt import clock as clock_module
 
 # Seconds without an answer after which a peer counts as dead.
@@ -15,8 +15,13 @@
     """Knows the listed entry VMs and when each peer last answered."""
 
     def __init__(
-        self, *, me: model.Member, clock: clock_module.Clock = clock_module.monotonic
+        self,
+        *,
+        me: model.Member,
+        clock: clock_module.Clock = clock_module.monotonic,
+        deadline: float = PEER_DEADLINE,
     ) -> None:
+        self._deadline = deadline
         self._me = me
         self._clock = clock
         self._members: dict[str, model.Member] = {me.vm: me}
@@ -109,7 +114,7 @@
             return True
         never = float("-inf")
         heard_at = max(self._last_answer.get(vm, never), self._excused_at.get(vm, never))
-        return now - heard_at <= PEER_DEADLINE
+        return now - heard_at <= self._deadline
 
     def live(self, now: float) -> tuple[model.Member, ...]:
         """Return the members that answer and are not leaving."""
@@ -125,6 +130,15 @@
 def setup(app: application.Application) -> None:
     """Register the member view."""
     app.add_event("members-changed")
+    app.add_setting(
+        config.Setting(
+            key="members.deadline",
+            kind=float,
+            default=PEER_DEADLINE,
+            doc="Seconds without an answer after which a peer counts as dead.",
+            check=config.is_positive,
+        )
+    )
 
     def create(app: application.Application) -> MemberView:
         settings = app.settings
@@ -133,6 +147,6 @@
             failure_domain=settings["vm.failure_domain"],
             peer_address=settings["vm.peer_address"],
         )
-        return MemberView(me=me, clock=app.clock)
+        return MemberView(me=me, clock=app.clock, deadline=settings["members.deadline"])
 
     app.add_part("membership", "view", create)
--- a/src/greengageshunt/metrics/collector.py
+++ b/src/greengageshunt/metrics/collector.py
@@ -7,10 +7,10 @@
 from prometheus_client import metrics_core
 
 from greengageshunt import application, model
-from greengageshunt.metrics import latency
+from greengageshunt.metrics import families, latency
 from greengageshunt.proxy import reports
 
-PREFIX = "greengageshunt"
+PREFIX = families.PREFIX
 
 
 class DaemonCollector:
@@ -43,14 +43,20 @@
         """Return all metrics."""
         yield from self._request_seconds.collect()
         yield from self._loop_lag.collect()
-        yield _counter("requests", "Requests by result.", ("kind", "code"), self._requests)
-        yield _counter(
+        yield families.counter("requests", "Requests by result.", ("kind", "code"), self._requests)
+        yield families.counter(
             "admissions", "Admission decisions.", ("admitted", "reason"), self._admissions
         )
-        yield _counter("routing_decisions", "Routing decisions.", ("reason",), self._routings)
-        yield _counter("late_answers", "Answers without a waiting request.", ("peer",), self._late)
-        yield _counter("group_changes", "Changes of group records.", ("group",), self._changes)
-        yield _gauge("group_term", "Term of each group.", ("group",), _keyed(self._terms))
+        yield families.counter(
+            "routing_decisions", "Routing decisions.", ("reason",), self._routings
+        )
+        yield families.counter(
+            "late_answers", "Answers without a waiting request.", ("peer",), self._late
+        )
+        yield families.counter(
+            "group_changes", "Changes of group records.", ("group",), self._changes
+        )
+        yield families.gauge("group_term", "Term of each group.", ("group",), _keyed(self._terms))
         yield from self._invariants()
         yield from self._gauges()
 
@@ -94,8 +100,8 @@
         if invariants is None:
             return
         checks, violations = _keyed(invariants.checks), _keyed(invariants.violations)
-        yield _counter("invariant_checks", "Checks of invariants.", ("invariant",), checks)
-        yield _counter(
+        yield families.counter("invariant_checks", "Checks of invariants.", ("invariant",), checks)
+        yield families.counter(
             "invariant_violations",
             "Violations of invariants.",
             ("invariant",),
@@ -113,35 +119,17 @@
             part = self._part(role, name)
             if part is not None:
                 connections[(side,)] = part.open_connections
-        yield _gauge("open_connections", "Open connections.", ("side",), connections)
+        yield families.gauge("open_connections", "Open connections.", ("side",), connections)
         configuration = self._part("configuration", "state")
         if configuration is not None:
             values = {(): configuration.version}
-            yield _gauge("configuration_version", "Configuration in force.", (), values)
+            yield families.gauge("configuration_version", "Configuration in force.", (), values)
         view = self._part("membership", "view")
         if view is not None:
             live = len(view.live(self._app.clock()))
             values = {("listed",): len(view.members), ("live",): live}
-            yield _gauge("members", "Entry VMs.", ("state",), values)
+            yield families.gauge("members", "Entry VMs.", ("state",), values)
 
 
 def _keyed(values: abc.Mapping[str, float]) -> dict[tuple[str, ...], float]:
     return {(key,): value for key, value in values.items()}
-
-
-def _counter(
-    name: str, doc: str, labels: tuple[str, ...], values: abc.Mapping[tuple[str, ...], float]
-) -> metrics_core.Metric:
-    family = metrics_core.CounterMetricFamily(f"{PREFIX}_{name}", doc, labels=labels)
-    for key, value in sorted(values.items()):
-        family.add_metric(key, value)
-    return family
-
-
-def _gauge(
-    name: str, doc: str, labels: tuple[str, ...], values: abc.Mapping[tuple[str, ...], float]
-) -> metrics_core.Metric:
-    family = metrics_core.GaugeMetricFamily(f"{PREFIX}_{name}", doc, labels=labels)
-    for key, value in sorted(values.items()):
-        family.add_metric(key, value)
-    return family
--- a/src/greengageshunt/peers/link.py
+++ b/src/greengageshunt/peers/link.py
@@ -33,6 +33,8 @@
         received: abc.Callable[[messages.HeartbeatAck, float], None],
     ) -> None:
         self._app = app
+        self._interval = app.settings["peers.heartbeat"]
+        self._silence = app.settings["peers.silence"]
         self._peer = peer
         self._heartbeat = heartbeat
         self._received = received
@@ -144,7 +146,7 @@
 
     async def _receive(self, connection: client.ClientConnection) -> None:
         while True:
-            async with asyncio.timeout(SILENCE_DEADLINE):
+            async with asyncio.timeout(self._silence):
                 frame = await connection.recv(decode=False)
             correlation, message = messages.decode(frame)
             future = self._pending.get(correlation)
@@ -160,11 +162,11 @@
         while True:
             sent_at = self._app.clock()
             try:
-                ack = await self.request(self._heartbeat(), SILENCE_DEADLINE)
+                ack = await self.request(self._heartbeat(), self._silence)
             except errors.GreengageshuntError as error:
                 raise ConnectionResetError(str(error)) from error
             self._received(ack, sent_at)
-            await asyncio.sleep(HEARTBEAT_INTERVAL)
+            await asyncio.sleep(self._interval)
 
     def _fail_pending(self) -> None:
         for future in self._pending.values():
--- a/src/greengageshunt/peers/links.py
+++ b/src/greengageshunt/peers/links.py
@@ -5,7 +5,7 @@
 from collections import abc
 from typing import Any
 
-from greengageshunt import application, errors
+from greengageshunt import application, config, errors
 from greengageshunt.peers import link, messages
 
 logger = logging.getLogger(__name__)
@@ -154,6 +154,24 @@
 
 def setup(app: application.Application) -> None:
     """Register the peer links."""
+    app.add_setting(
+        config.Setting(
+            key="peers.heartbeat",
+            kind=float,
+            default=link.HEARTBEAT_INTERVAL,
+            doc="Seconds between two heartbeats to a peer.",
+            check=config.is_positive,
+        )
+    )
+    app.add_setting(
+        config.Setting(
+            key="peers.silence",
+            kind=float,
+            default=link.SILENCE_DEADLINE,
+            doc="Seconds without a frame after which a link to a peer is replaced.",
+            check=config.is_positive,
+        )
+    )
     app.add_event("peer-answered")
     app.add_event("late-answer")
     app.add_part("peers", "links", lambda app: PeerLinks(app=app))
--- a/src/greengageshunt/platform/settings.py
+++ b/src/greengageshunt/platform/settings.py
@@ -8,10 +8,15 @@
 # Milliseconds in the file, seconds in the product.
 _MILLISECONDS = 0.001
 
+# Port of the metrics page; `metrics` in deploy/system.toml names it too.
+METRICS_PORT = 9464
+
 # Setting of the product: (field of the file, factor).
 _NUMBERS = {
     "stop.grace": ("bounds.grace-s", 1.0),
-    "confirmation.limit": ("bounds.contact-ms", _MILLISECONDS),
+    "limits.tolerance": ("bounds.quota-tolerance", 1.0),
+    "limits.slack": ("bounds.quota-slack", 1.0),
+    "limits.window": ("bounds.quota-window-s", 1.0),
 }
 
 
@@ -67,7 +72,7 @@
     return number
 
 
-def _ports(fields: abc.Mapping[str, str], source: str) -> tuple[int, int]:
+def _peer_port(fields: abc.Mapping[str, str], source: str) -> int:
     name = "internal-port-range"
     value = _required(fields, name, source)
     first, _, last = value.partition(",")
@@ -75,7 +80,7 @@
         raise errors.SettingsError(
             f"{source}: {name}: expected two ports in rising order, got {value!r}", peer=source
         )
-    return int(first), int(last)
+    return int(first)
 
 
 def values_of(fields: abc.Mapping[str, str], source: str) -> dict[str, object]:
@@ -89,32 +94,38 @@
         SettingsError: Names the file, the field and what was expected.
     """
     address = _required(fields, "ip", source)
-    peer_port, metrics_port = _ports(fields, source)
     values: dict[str, object] = {
         "vm.name": _required(fields, "node-name", source),
         "vm.failure_domain": _required(fields, "zone", source),
-        "vm.peer_address": f"{address}:{peer_port}",
-        "metrics.address": f"{address}:{metrics_port}",
+        "vm.peer_address": f"{address}:{_peer_port(fields, source)}",
+        "metrics.address": f"{address}:{METRICS_PORT}",
         "sessions.address": _address(fields, "listen.front", source),
         "readiness.address": _address(fields, "listen.ready", source),
         "store.address": _address(fields, "platform.address", source),
         "duties.address": _address(fields, "cloud.address", source),
-        "parts.platform": "table",
-        "parts.driver": "lines",
     }
     for key, (name, factor) in _NUMBERS.items():
         values[key] = _number(fields, name, source) * factor
     return values
 
 
-def load(path: pathlib.Path, declared: abc.Mapping[str, config.Setting]) -> config.Settings:
+def load(
+    path: pathlib.Path,
+    declared: abc.Mapping[str, config.Setting],
+    defaults: abc.Mapping[str, object],
+) -> config.Settings:
     """Read and check the platform's settings file.
 
+    Args:
+        path: The file.
+        declared: Settings of the product.
+        defaults: Values of settings for which the platform has no field.
+
     Raises:
         SettingsError: Names the file, the field and what was expected.
     """
     source = str(path)
-    values = values_of(read_fields(path), source)
+    values = {**defaults, **values_of(read_fields(path), source)}
     checked = {}
     for key, setting in declared.items():
         if key in values:
--- a/src/greengageshunt/platform/store.py
+++ b/src/greengageshunt/platform/store.py
@@ -136,8 +136,8 @@
         """Return the version of a transaction, or None if its condition does not hold."""
         step = f"write {key}"
         try:
-            response = await self._caller.call(
-                "POST", "/rows-tx", body=json.dumps(entries).encode(), timeout=CALL_TIMEOUT
+            response = await self._call(
+                "write", "POST", "/rows-tx", body=json.dumps(entries).encode(), timeout=CALL_TIMEOUT
             )
         except connection.CallError as error:
             raise self._error(str(error), step, effect_unknown=error.sent) from error
@@ -155,8 +155,11 @@
         step = f"GET {path} {query['table']}"
         sent_at = self._app.clock()
         try:
-            response = await self._caller.call(
-                "GET", f"{path}?{urllib.parse.urlencode(query)}", timeout=timeout
+            response = await self._call(
+                path.removeprefix("/rows-"),
+                "GET",
+                f"{path}?{urllib.parse.urlencode(query)}",
+                timeout=timeout,
             )
         except connection.CallError as error:
             raise self._error(str(error), step, effect_unknown=False) from error
@@ -170,6 +173,22 @@
         local = self._clock.local(document.get("now-ms"), sent_at, self._app.clock())
         return document, local
 
+    async def _call(
+        self, name: str, method: str, path: str, *, timeout: float, body: bytes = b""
+    ) -> connection.Response:
+        """Call the store, and count the call by its result.
+
+        Raises:
+            CallError: No answer.
+        """
+        counted = "no answer"
+        try:
+            response = await self._caller.call(method, path, body=body, timeout=timeout)
+            counted = str(response.status)
+        finally:
+            self._app.events.emit("store-called", (name, counted))
+        return response
+
     def _document(self, body: bytes, step: str) -> dict[str, Any]:
         try:
             document = json.loads(body)
@@ -257,4 +276,5 @@
             check=config.is_address,
         )
     )
+    app.add_event("store-called")
     app.add_part("platform", "table", lambda app: TableStore(app=app))
--- a/src/greengageshunt/pooling/execution.py
+++ b/src/greengageshunt/pooling/execution.py
@@ -94,6 +94,7 @@
         self._me = app.part("membership", "view").me
         self._slowness: dict[str, tuple[float, float]] = {}
         self._writes: collections.Counter[str] = collections.Counter()
+        self._quiet: dict[str, asyncio.Event] = {}
 
     def needs(self, operation: Operation) -> choice.Needs:
         """Return what an operation needs of its target."""
@@ -181,16 +182,23 @@
     def begin_write(self, group: str) -> None:
         """Count a write or commit that is on its way."""
         self._writes[group] += 1
+        self._quiet.setdefault(group, asyncio.Event()).clear()
 
     def end_write(self, group: str) -> None:
         """Count a write or commit as answered."""
         self._writes[group] -= 1
+        if not self._writes[group]:
+            self._quiet[group].set()
 
     async def wait_writes(self, group: str) -> None:
         """Wait until no write of a group is on its way, but not long."""
-        until = self._app.clock() + WRITES_LIMIT
-        while self._writes[group] > 0 and self._app.clock() < until:
-            await asyncio.sleep(RETRY_INTERVAL)
+        if not self._writes[group]:
+            return
+        try:
+            async with asyncio.timeout(WRITES_LIMIT):
+                await self._quiet[group].wait()
+        except TimeoutError:
+            logger.warning("writes still on their way", extra={"group": group})
 
     def _choose(
         self, operation: Operation, tried: set[str], now: float
--- a/src/greengageshunt/pooling/freshness.py
+++ b/src/greengageshunt/pooling/freshness.py
@@ -1,8 +1,8 @@
 """How far a replica must have come for a read of limited staleness.
 
 Each pair (time, position) of a group says that every commit acknowledged by that time lies
-at or below that position. Answers of a primary give such pairs: its log contains, when it answers, all
-that was acknowledged before the statement was sent.
+at or below that position. Answers of a primary give such pairs: its log contains, when it
+answers, all that was acknowledged before the statement was sent.
 """
 
 import collections
--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -415,37 +415,58 @@
         for _ in range(TRIES):
             placed = await self._place(operation, shapes, tried, received_at)
             if isinstance(placed, result.Failure):
-                if refused is None:
-                    refused = statements.CallerAnswer(refusal=placed.failure())
-                return refused
+                return refused or statements.CallerAnswer(refusal=placed.failure())
             placement = placed.unwrap()
-            text = self._text(statement, placement)
-            answer = await self._run_on(operation, placement, statement, text, received_at, writes)
-            placement.pool.release(placement.connection)
-            if isinstance(answer, errors.TargetError):
-                refused = self._broken(answer, operation, placement, statement, received_at)
-                retry = not writes and answer.code != statements.Code.TIMEOUT
-            elif answer.code:
-                refused = self._target_error(answer, operation, placement, statement, received_at)
-                retry = answer.code in statements.NOT_RUN or (
-                    not writes and answer.code == statements.Code.FAILED
-                )
-                if answer.code == statements.Code.NO_STATEMENT:
-                    placement.connection.prepared.clear()
-            elif writes:
-                return self._acknowledge(answer, operation, placement, statement, received_at)
-            else:
-                seconds = self._host.clock() - placement.checked_at
-                self._host.executor.note_read(placement, seconds)
-                self._log(operation, placement, statement, "ok", received_at)
-                return statements.CallerAnswer(rows=answer.rows, signature=answer.signature)
+            refused, retry = await self._try_single(operation, placement, statement, received_at)
             if not retry:
-                return refused
+                break
             tried.add(placement.target)
             if placement.primary:
                 await asyncio.sleep(RETRY_DELAY)
         return refused
 
+    async def _try_single(
+        self,
+        operation: execution.Operation,
+        placement: execution.Placement,
+        statement: statements.Statement,
+        received_at: float,
+    ) -> tuple[statements.CallerAnswer, bool]:
+        """Run a single statement once; return its answer, and whether to try again."""
+        writes = self._writes(statement)
+        text = self._text(statement, placement)
+        answer = await self._run_on(operation, placement, statement, text, received_at, writes)
+        if isinstance(answer, statements.TargetAnswer):
+            if answer.code == statements.Code.NO_STATEMENT:
+                placement.connection.prepared.clear()
+            placement.pool.release(placement.connection)
+            return self._judge_single(answer, operation, placement, statement, received_at)
+        placement.pool.release(placement.connection)
+        refused = self._broken(answer, operation, placement, statement, received_at)
+        return refused, not writes and answer.code != statements.Code.TIMEOUT
+
+    def _judge_single(
+        self,
+        answer: statements.TargetAnswer,
+        operation: execution.Operation,
+        placement: execution.Placement,
+        statement: statements.Statement,
+        received_at: float,
+    ) -> tuple[statements.CallerAnswer, bool]:
+        """Return what a target's answer means for the caller, and whether to try again."""
+        writes = self._writes(statement)
+        if answer.code:
+            refused = self._target_error(answer, operation, placement, statement, received_at)
+            failed_read = not writes and answer.code == statements.Code.FAILED
+            return refused, failed_read or answer.code in statements.NOT_RUN
+        if writes:
+            return self._acknowledge(answer, operation, placement, statement, received_at), False
+        seconds = self._host.clock() - placement.checked_at
+        self._host.executor.note_read(placement, seconds)
+        self._log(operation, placement, statement, "ok", received_at)
+        served = statements.CallerAnswer(rows=answer.rows, signature=answer.signature)
+        return served, False
+
     async def _run_on(
         self,
         operation: execution.Operation,
--- a/src/greengageshunt/programs/entry.py
+++ b/src/greengageshunt/programs/entry.py
@@ -1,10 +1,23 @@
 """Entry point of ``greengageshunt-entry``: everything that an entry VM of the platform runs."""
 
+import functools
+
 from greengageshunt.platform import settings
 from greengageshunt.programs import common
 
 SETTINGS_VARIABLE = "GREENGAGESHUNT_BOOT"
 
+# Values that the platform's settings file does not hold. Bytes between failure domains are
+# priced there, so heartbeats are less frequent than the defaults.
+DEFAULTS = {
+    "parts.platform": "table",
+    "parts.driver": "lines",
+    "peers.heartbeat": 0.5,
+    "peers.silence": 1.5,
+    "members.deadline": 1.6,
+    "confirmation.limit": 7.0,
+}
+
 EXTENSIONS = (
     "greengageshunt.invariants",
     "greengageshunt.platform.store",
@@ -31,6 +44,7 @@
     "greengageshunt.coordination.promotion",
     "greengageshunt.frontends.readiness",
     "greengageshunt.platform.frontend",
+    "greengageshunt.metrics.entry",
 )
 
 
@@ -40,7 +54,7 @@
         "greengageshunt-entry",
         "Entry VM of the platform: sessions, limits and changes of primaries.",
         EXTENSIONS,
-        load=settings.load,
+        load=functools.partial(settings.load, defaults=DEFAULTS),
         settings_variable=SETTINGS_VARIABLE,
     )
 
