--- a/src/greengageshunt/admission/leased_shares.py
+++ b/src/greengageshunt/admission/leased_shares.py
@@ -4,7 +4,7 @@
 import logging
 
 from greengageshunt import application, errors, logs, model
-from greengageshunt.admission import allowance, decision, holding, ledger, loan_messages
+from greengageshunt.admission import decision, holding, ledger, loan_messages
 from greengageshunt.peers import messages
 
 logger = logging.getLogger(__name__)
@@ -268,14 +268,7 @@
         return messages.Acknowledged()
 
     def _adopt_configuration(self, configuration: model.Configuration) -> None:
-        settings = self._app.settings
-        allowed = allowance.widen(
-            configuration,
-            tolerance=settings["limits.tolerance"],
-            slack=settings["limits.slack"],
-            window=settings["limits.window"],
-        )
-        if self._shares.adopt_configuration(allowed):
+        if self._shares.adopt_configuration(configuration):
             self._refresh()
 
     def _refresh(self, _: object = None) -> None:
@@ -292,8 +285,6 @@
 
 def setup(app: application.Application) -> None:
     """Register the leased shares."""
-    for setting in allowance.SETTINGS:
-        app.add_setting(setting)
 
     def create_service(app: application.Application) -> object:
         if app.settings["parts.admission"] != "leased_shares":
--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -20,8 +20,8 @@
 # a restart or a partition usually lasts, since a removal makes changes of primaries wait.
 GONE_AFTER = 20.0
 
-# Seconds within which a step of the stop must reach the store.
-DEREGISTER_TIMEOUT = 0.5
+# Seconds within which the mark of a stopped process must reach the store.
+STOP_TIMEOUT = 0.5
 
 REGISTER_DELAY = 0.3  # seconds after a failed write
 
@@ -71,15 +71,20 @@
             await asyncio.sleep(delay * random.uniform(0.8, 1.2))
 
     async def stop(self) -> None:
-        """Delete the own row, so that nobody waits for this process."""
+        """Mark the own row as stopped, so that no change of a primary waits for this process.
+
+        The row itself stays: a restart would otherwise change the registered names twice,
+        and with them who holds which limits.
+        """
         row = self._view.row(view.MEMBER_PREFIX + self._me.vm)
         if row is None or not self.registered:
             return
+        stopped = dataclasses.replace(self._me, stopped=True)
         try:
-            async with asyncio.timeout(DEREGISTER_TIMEOUT):
-                await self._store.delete_row(row.key, str(row.version))
+            async with asyncio.timeout(STOP_TIMEOUT):
+                await self._store.put_row(row.key, codec.to_plain(stopped), str(row.version))
         except (TimeoutError, errors.PlatformError) as error:
-            logger.warning("member row not deleted", extra={"reason": str(error)})
+            logger.warning("member row not marked as stopped", extra={"reason": str(error)})
 
     async def _register(self) -> None:
         if not self._view.copy(records.Section.CONTROL).version:
--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -305,7 +305,9 @@
         written_at = self._app.clock()
         request = records.LeaseRecall(row=row)
         me = self._members.me.vm
-        others = {vm: entry for vm, entry in self._view.members.items() if vm != me}
+        others = {
+            vm: entry for vm, entry in self._view.members.items() if vm != me and not entry.stopped
+        }
         record = codec.from_json(row.value, records.LeadRecord)
         answers = await asyncio.gather(
             self._executor.wait_writes(record.group),
--- a/src/greengageshunt/membership/shares_table.py
+++ b/src/greengageshunt/membership/shares_table.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 import uuid
-from typing import Any
 
 from greengageshunt import application, codec, config, errors, logs
 from greengageshunt.membership import ownership, shares, shares_messages
@@ -29,7 +28,7 @@
 
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
-        self._platform = _rows(app)
+        self._platform = app.selected("platform")
         self._members = app.part("membership", "view")
         self._links = app.part("peers", "links")
         self._shares: shares.ShareView = app.part("membership", "shares")
@@ -81,16 +80,15 @@
         After a write whose answer was lost, the next call reads the row back
         before it writes again.
         """
-        reading = await self._platform.read_row(SHARES_ROW)
-        row = reading.row
+        sent_at = self._app.clock()
+        row = await self._platform.get_row(SHARES_ROW)
         if row is not None:
             self._adopt(codec.from_plain(row.value, shares.ShareTable), "platform")
-            self._shares.note_row_read(reading.as_of)
+            self._shares.note_row_read(sent_at)
         table = self._wanted()
         if table is None:
             return
         etag = row.etag if row else None
-        sent_at = self._app.clock()
         written = await self._platform.put_row(SHARES_ROW, codec.to_plain(table), etag)
         if isinstance(written, rows.Conflict):
             self._newer.set()
@@ -181,12 +179,6 @@
             self._newer.set()
 
 
-def _rows(app: application.Application) -> Any:
-    """Return the plug-in that serves rows: the copy of the store where there is one."""
-    names = app.registry.names("rows")
-    return app.part("rows", names[0]) if names else app.selected("platform")
-
-
 def _check_holders(value: int) -> str | None:
     return None if value >= 1 else "an integer of at least 1"
 
--- a/src/greengageshunt/standins/memory.py
+++ b/src/greengageshunt/standins/memory.py
@@ -80,11 +80,6 @@
         value, version = self._rows[key]
         return rows.Row(key=key, value=value, etag=str(version))
 
-    async def read_row(self, key: str) -> rows.Reading:
-        """Return a row with the time of its state."""
-        as_of = asyncio.get_running_loop().time()
-        return rows.Reading(row=await self.get_row(key), as_of=as_of)
-
     async def put_row(self, key: str, value: Any, etag: str | None) -> rows.Row | rows.Conflict:
         """Write a row if it still has the given version."""
         self._check(f"PUT {key}", effect_unknown=True)
--- a/src/greengageshunt/stores/http.py
+++ b/src/greengageshunt/stores/http.py
@@ -7,7 +7,6 @@
 import aiohttp
 
 from greengageshunt import application, codec, config, errors, model
-from greengageshunt import clock as clock_module
 from greengageshunt.stores import rows
 
 # Seconds. Below the 4 s for which a confirmation holds, so that a platform that
@@ -24,9 +23,7 @@
         address: str,
         vm: str,
         timeout: float = REQUEST_TIMEOUT,
-        clock: clock_module.Clock = clock_module.monotonic,
     ) -> None:
-        self._clock = clock
         self._base = f"http://{address}"
         self._address = address
         self._vm = vm
@@ -49,15 +46,6 @@
             return None
         return rows.Row(key=key, value=json.loads(body), etag=headers["ETag"])
 
-    async def read_row(self, key: str) -> rows.Reading:
-        """Return a row with the time of its state.
-
-        Raises:
-            PlatformError: The platform did not answer.
-        """
-        sent_at = self._clock()
-        return rows.Reading(row=await self.get_row(key), as_of=sent_at)
-
     async def put_row(self, key: str, value: Any, etag: str | None) -> rows.Row | rows.Conflict:
         """Write a row if it still has the given version.
 
@@ -178,6 +166,5 @@
             address=app.settings["platform.address"],
             vm=app.settings["vm.name"],
             timeout=app.settings["platform.timeout"],
-            clock=app.clock,
         ),
     )
--- a/src/greengageshunt/stores/rows.py
+++ b/src/greengageshunt/stores/rows.py
@@ -24,16 +24,3 @@
     """A conditional write found another version; nothing was written."""
 
     key: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Reading:
-    """What a store said of one row.
-
-    Attributes:
-        row: The row, or None if it does not exist.
-        as_of: Monotonic seconds at or after which the store was in this state.
-    """
-
-    row: Row | None
-    as_of: float
