--- a/src/greengageshunt/admission/granted.py
+++ b/src/greengageshunt/admission/granted.py
@@ -83,10 +83,12 @@
     Attributes:
         names: Names of entry VMs, sorted.
         seen_at: Monotonic seconds; negative infinity for those found at the start.
+        version: Version of the store that held them.
     """
 
     names: tuple[str, ...]
     seen_at: float
+    version: int
 
 
 def holders_of(account: str, names: abc.Sequence[str]) -> tuple[str, ...]:
@@ -95,19 +97,22 @@
     return tuple(ranked[:HOLDERS])
 
 
-def may_grant(account: str, vm: str, known: abc.Sequence[Names], now: float) -> bool:
+def may_grant(
+    account: str, vm: str, known: abc.Sequence[Names], common_version: int, now: float
+) -> bool:
     """Return whether an entry VM holds an account, and no earlier holder may still grant.
 
     Args:
         account: The account.
         vm: The entry VM.
         known: Registered names, newest first.
+        common_version: Version of the store that all registered entry VMs have seen.
         now: Monotonic seconds.
     """
     for item in known:
         if vm not in holders_of(account, item.names):
             return False
-        if now - item.seen_at >= HANDOVER:
+        if item.version <= common_version or now - item.seen_at >= HANDOVER:
             return True
     return bool(known)
 
@@ -140,7 +145,8 @@
         self._links = app.part("peers", "links")
         self._members = app.part("membership", "view")
         self._view: view.StoreView = app.part("coordination", "view")
-        self._configuration = app.part("configuration", "state")
+        self._watch = app.part("coordination", "watch")
+        self._started_at = app.clock()
         self._known: tuple[Names, ...] = ()
         self._reserves: dict[str, bucket.Bucket] = {}
         self._held: dict[str, bucket.Bucket] = {}
@@ -243,7 +249,7 @@
             return Grant(tokens=0.0, reason="unknown account")
         if now >= self._view.copy(records.Section.CONTROL).as_of + lease.LEASE:
             return Grant(tokens=0.0, reason="the registered names are not confirmed")
-        if not may_grant(request.account, me, self._known, now):
+        if not may_grant(request.account, me, self._known, self._common_version(), now):
             return Grant(tokens=0.0, reason="not a holder")
         part = (1.0 - RESERVE) / len(holders_of(request.account, self._known[0].names))
         held = self._sized(self._held.get(request.account), account, part, now)
@@ -251,6 +257,14 @@
         self._held[request.account] = dataclasses.replace(held, tokens=held.tokens - tokens)
         return Grant(tokens=tokens, reason="granted" if tokens else "no tokens left")
 
+    def _common_version(self) -> int:
+        """Return the version of the control table that all registered entry VMs have seen."""
+        me = self._members.me.vm
+        own = self._view.copy(records.Section.CONTROL).version
+        seen = self._watch.reported_versions
+        names = self._known[0].names if self._known else ()
+        return min((seen.get(vm, 0) for vm in names if vm != me), default=own)
+
     def _reserve(self, account: str, now: float) -> bucket.Bucket | None:
         limits = self._accounts.get(account)
         if limits is None or not self._known:
@@ -265,10 +279,14 @@
         part: float,
         now: float,
     ) -> bucket.Bucket:
-        """Return a bucket with part of an account's limit; a new one is empty."""
+        """Return a bucket with part of an account's limit.
+
+        A new one was empty when the process started or the holders changed.
+        """
         rate, capacity = account.rate * part, max(1.0, account.burst * part)
         if known is None:
-            return bucket.Bucket(rate=rate, capacity=capacity, tokens=0.0, updated_at=now)
+            empty_at = max(self._started_at, self._known[0].seen_at)
+            known = bucket.Bucket(rate=rate, capacity=capacity, tokens=0.0, updated_at=empty_at)
         return bucket.resize(known, rate, capacity, now)
 
     def _retry_after(self, account: str, now: float) -> float:
@@ -284,7 +302,7 @@
         recent = [item for item in self._known if now - item.seen_at < HANDOVER]
         # The first one that is older than the handover was in force during all of it.
         older = self._known[len(recent) : len(recent) + 1]
-        self._known = (Names(names=names, seen_at=seen_at), *recent, *older)
+        self._known = (Names(names=names, seen_at=seen_at, version=version), *recent, *older)
         logs.log_decision(logger, "adopt-holders", names=names, version=version)
 
     def _adopt(self, configuration: model.Configuration) -> None:
--- a/src/greengageshunt/coordination/lease.py
+++ b/src/greengageshunt/coordination/lease.py
@@ -32,6 +32,7 @@
         age: Seconds since the store confirmed the record.
         version: Version of the record's row.
         until: Monotonic seconds at which the permission ends.
+        changing: Whether a change of the primary is in progress.
     """
 
     target: str
@@ -40,6 +41,7 @@
     age: float
     version: int
     until: float
+    changing: bool
 
 
 def control_row(row: rows.Row) -> records.ControlRow:
@@ -85,6 +87,7 @@
         age=now - as_of,
         version=version,
         until=until,
+        changing=record is not None and record.changing,
     )
 
 
--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -32,6 +32,10 @@
 RECALL_TIMEOUT = 0.5  # seconds
 STATUS_TIMEOUT = 0.4  # seconds
 
+# Seconds for which a primary must be out of reach while entry VMs are, too. A change must then
+# wait for the end of their permissions, which takes longer than most partitions last.
+SUSPICION_DURING_PARTITION = 6.0
+
 # Part of the entry VMs that must not reach a primary before it is replaced.
 UNREACHED_SHARE = 0.4
 
@@ -43,8 +47,10 @@
 
 POLL_INTERVAL = 0.08  # seconds
 
-# Seconds after which a change that another entry VM began counts as abandoned.
-ABANDONED_AFTER = 5.0
+# Seconds after which a change that another entry VM began counts as abandoned: at once
+# if that one does not answer, else after the longest time that a change takes.
+ABANDONED_BY_DEAD = 1.0
+ABANDONED_BY_LIVE = lease.LEASE + lease.DRIFT + CATCH_UP_LIMIT + LEAD_LIMIT + 2.0
 
 # Seconds before the next change of the same group.
 PAUSE = 1.0
@@ -72,16 +78,18 @@
     return max(fit, key=lambda item: (item.position or zero, item.entry.target), default=None)
 
 
-def should_replace(*, unreached: int, asked: int) -> bool:
-    """Return whether so many entry VMs do not reach a primary that it is replaced.
+def should_replace(*, unreached: int, asked: int, registered: int, failing_for: float) -> bool:
+    """Return whether a primary is out of reach of so many entry VMs that it is replaced.
 
     Args:
         unreached: Entry VMs, the own one included, that do not reach it.
         asked: Entry VMs that answered, the own one included.
+        registered: Entry VMs whose permissions count.
+        failing_for: Seconds for which this entry VM has not reached it.
     """
-    if asked == 1:
-        return unreached == 1
-    return unreached >= max(2, UNREACHED_SHARE * asked)
+    patience = SUSPICION if asked >= registered else SUSPICION_DURING_PARTITION
+    enough = unreached >= min(asked, max(2, UNREACHED_SHARE * asked))
+    return enough and failing_for >= patience
 
 
 class Promoter:
@@ -152,18 +160,24 @@
             token, since = self._changing_since.get(group, (0, now))
             if token != record.token:
                 self._changing_since[group] = (record.token, now)
-            elif now - since > ABANDONED_AFTER or record.holder == self._members.me.vm:
+            elif now - since > self._patience(record, now):
                 await self._change(record, "the change was abandoned")
             return
         entry = self._view.target(record.primary)
-        if entry is None:
-            if entries:
-                await self._change(record, "the primary is not listed")
-        elif entry.draining:
+        if entry is not None and entry.draining:
             await self._change(record, "the primary drains")
-        elif await self._is_lost(entry):
+        elif entries and await self._is_lost(record, entry):
             await self._change(record, "the primary is not reached")
 
+    def _patience(self, record: records.LeadRecord, now: float) -> float:
+        """Return the seconds for which a change is left to its holder."""
+        if record.incarnation == self._registry.me.incarnation:
+            return 0.0
+        live = {member.vm for member in self._members.live(now)}
+        holder = self._view.members.get(record.holder)
+        runs = holder is not None and holder.incarnation == record.incarnation
+        return ABANDONED_BY_LIVE if runs and record.holder in live else ABANDONED_BY_DEAD
+
     async def _record_first(self, group: str, entries: tuple[records.TargetEntry, ...]) -> None:
         """Write the first record of a group, by what its targets say of themselves."""
         copy = self._view.copy(records.Section.CONTROL)
@@ -179,20 +193,21 @@
         )
         await self._write(record, None)
 
-    async def _is_lost(self, entry: records.TargetEntry) -> bool:
-        """Return whether so many entry VMs do not reach a primary that it is replaced."""
-        name = entry.target
-        target_pool = self._pools.pool(entry)
+    async def _is_lost(self, record: records.LeadRecord, entry: records.TargetEntry | None) -> bool:
+        """Return whether so many entry VMs do not reach a primary that it is replaced.
+
+        Args:
+            record: Record of the group.
+            entry: Entry of the primary, or None while it is not listed.
+        """
+        name = record.primary
         now = self._app.clock()
-        quiet = now - target_pool.answered_at > QUIET_LIMIT
-        if not target_pool.failures and not quiet:
-            self._failing_since.pop(name, None)
-            return False
-        if await self._reaches(entry):
+        if entry is not None and await self._seems_well(entry, now):
             self._failing_since.pop(name, None)
             return False
         since = self._failing_since.setdefault(name, now)
-        if self._app.clock() - since < SUSPICION:
+        failing_for = self._app.clock() - since
+        if failing_for < SUSPICION:
             return False
         request = records.ReachRequest(target=name)
         peers = [
@@ -201,21 +216,35 @@
         answers = await asyncio.gather(*(self._ask(vm, request, REACH_TIMEOUT) for vm in peers))
         known = [answer for answer in answers if answer is not None]
         unreached = 1 + sum(not answer.reached for answer in known)
-        lost = should_replace(unreached=unreached, asked=1 + len(known))
+        registered = sum(not entry.stopped for entry in self._view.members.values())
+        lost = should_replace(
+            unreached=unreached,
+            asked=1 + len(known),
+            registered=registered,
+            failing_for=failing_for,
+        )
         logs.log_decision(
             logger,
             "suspect-primary",
-            group=entry.group,
+            group=record.group,
             target=name,
             unreached=unreached,
             asked=1 + len(known),
-            failing_for=round(self._app.clock() - since, 3),
+            registered=registered,
+            failing_for=round(failing_for, 3),
             outcome="replace" if lost else "keep",
         )
         if not lost:
-            self._not_before[entry.group] = self._app.clock() + PAUSE
+            self._not_before[record.group] = self._app.clock() + PAUSE
         return lost
 
+    async def _seems_well(self, entry: records.TargetEntry, now: float) -> bool:
+        target_pool = self._pools.pool(entry)
+        quiet = now - target_pool.answered_at > QUIET_LIMIT
+        if not target_pool.failures and not quiet:
+            return True
+        return await self._reaches(entry)
+
     async def _change(self, record: records.LeadRecord, reason: str) -> None:
         """Replace the primary of a group.
 
@@ -228,7 +257,11 @@
             return
         self._not_before[group] = self._app.clock() + PAUSE
         intent = dataclasses.replace(
-            record, token=record.token + 1, holder=self._members.me.vm, changing=True
+            record,
+            token=record.token + 1,
+            holder=self._members.me.vm,
+            incarnation=self._registry.me.incarnation,
+            changing=True,
         )
         started_at = self._app.clock()
         logs.log_decision(
--- a/src/greengageshunt/coordination/records.py
+++ b/src/greengageshunt/coordination/records.py
@@ -48,6 +48,7 @@
         failure_domain: Failure domain that holds the entry VM.
         peer_address: ``host:port`` of its peer server.
         incarnation: Random text that its process chose at its start.
+        stopped: Whether the process stopped as planned and uses no primary any more.
         removed: Whether another entry VM took it for gone. The row is deleted when
             no permission that it held before can be valid any more.
     """
@@ -57,6 +58,7 @@
     peer_address: str
     incarnation: str
     removed: bool = False
+    stopped: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -67,7 +69,8 @@
         group: Name of the group.
         primary: Name of the primary; the target to be replaced while ``changing``.
         token: Fencing token of the newest order to the platform.
-        holder: Entry VM that writes the record last.
+        holder: Entry VM that wrote the record last.
+        incarnation: Process that began the change.
         changing: Whether a change of the primary is in progress. Nobody uses the
             primary meanwhile.
         term: Term that the primary reported when it was recorded; 0 if unknown.
@@ -78,6 +81,7 @@
     token: int
     holder: str
     changing: bool
+    incarnation: str = ""
     term: int = 0
 
 
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from collections import abc
 from typing import Any
 
 from greengageshunt import application, config, errors, logs
@@ -32,6 +33,7 @@
         self._links = app.part("peers", "links")
         self._available = dict.fromkeys(records.Section, False)
         self._copying: dict[records.Section, asyncio.Task[None]] = {}
+        self._reported: dict[str, int] = {}
         self._links.add_extra("store", self._report, self._note_report)
         app.part("peers", "server").add_handler(records.CopyRequest, self._answer_copy)
 
@@ -40,6 +42,11 @@
         """Whether the store answered the last call about the control table."""
         return self._available[records.Section.CONTROL]
 
+    @property
+    def reported_versions(self) -> abc.Mapping[str, int]:
+        """Version of the control table that each peer said to have, by its name."""
+        return self._reported
+
     async def run(self) -> None:
         """Watch all sections until cancelled."""
         waits = {
@@ -118,6 +125,8 @@
     def _note_report(self, vm: str, value: dict[str, Any], sent_at: float) -> None:
         for name, (version, digest, age) in value.items():
             section = records.Section(name)
+            if section is records.Section.CONTROL:
+                self._reported[vm] = max(version, self._reported.get(vm, 0))
             copy = self._view.copy(section)
             if digest == copy.digest and copy.version:
                 self._view.confirm(section, digest, version, sent_at - age)
--- a/src/greengageshunt/logs.py
+++ b/src/greengageshunt/logs.py
@@ -32,6 +32,10 @@
 PIPE_CHUNK = select.PIPE_BUF
 
 
+# Names that the logging module keeps for itself; it raises an error for fields of these names.
+_RESERVED = frozenset(logging.makeLogRecord({}).__dict__) | {"message", "asctime"}
+
+
 class _LineBudget:
     """Lines that may still be written, refilled at a rate."""
 
@@ -184,4 +188,5 @@
         **fields: Inputs and reason of the decision.
     """
     if logger.isEnabledFor(level):
-        logger.log(level, kind, extra={"decision": kind, **fields})
+        extra = {name + "_" if name in _RESERVED else name: value for name, value in fields.items()}
+        logger.log(level, kind, extra={"decision": kind, **extra})
--- a/src/greengageshunt/membership/confirmation.py
+++ b/src/greengageshunt/membership/confirmation.py
@@ -51,10 +51,10 @@
     are settled, has answered that it has nothing newer.
     """
 
-    def __init__(self, *, app: application.Application) -> None:
+    def __init__(self, *, app: application.Application, limit: float = CONFIRMATION_LIMIT) -> None:
+        self._limit = limit
         self._view = app.part("membership", "view")
         self._configuration = app.part("configuration", "state")
-        self._limit = app.settings["confirmation.limit"]
         self._platform_at = -math.inf
         self._peers: dict[str, float] = {}
         self._settled = False
@@ -120,4 +120,8 @@
             check=config.is_positive,
         )
     )
-    app.add_part("membership", "confirmation", lambda app: Confirmation(app=app))
+    app.add_part(
+        "membership",
+        "confirmation",
+        lambda app: Confirmation(app=app, limit=app.settings["confirmation.limit"]),
+    )
--- a/src/greengageshunt/pooling/execution.py
+++ b/src/greengageshunt/pooling/execution.py
@@ -26,6 +26,15 @@
 
 SETUP_TIMEOUT = 0.5  # seconds
 
+# Parts of its time limit for which a statement waits: for a connection, for a target that can
+# serve it, and for a change of primary that is in progress.
+WAIT_FOR_CONNECTION = 0.6
+WAIT_FOR_TARGET = 0.25
+WAIT_FOR_CHANGE = 0.9
+
+# Seconds that a change of primary usually takes.
+USUAL_CHANGE = 2.5
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Operation:
@@ -93,6 +102,7 @@
         self._freshness: freshness.Freshness = app.part("pooling", "freshness")
         self._me = app.part("membership", "view").me
         self._slowness: dict[str, tuple[float, float]] = {}
+        self._changing_since: dict[str, float] = {}
         self._writes: collections.Counter[str] = collections.Counter()
         self._quiet: dict[str, asyncio.Event] = {}
 
@@ -115,7 +125,7 @@
         values: dict[str, str],
         shapes: tuple[str, ...],
         tried: set[str],
-        deadline: float,
+        received_at: float,
     ) -> Placement:
         """Return a connection to a target that may run an operation now.
 
@@ -124,12 +134,14 @@
             values: Values of its session.
             shapes: Shapes of prepared statements that it executes.
             tried: Targets that are left out while others may serve.
-            deadline: Monotonic seconds until which to wait.
+            received_at: Monotonic seconds at which the statement was received.
 
         Raises:
             NotPlacedError: None could be had in time.
         """
         reason = ""
+        limit = operation.database.statement_timeout
+        deadline = received_at + limit * WAIT_FOR_CONNECTION
         while True:
             now = self._app.clock()
             if now >= deadline:
@@ -139,7 +151,10 @@
             chosen, permission = self._choose(operation, tried, now)
             if not chosen.target:
                 reason = permission.reason if not permission.granted else chosen.reason
+                deadline = received_at + limit * self._wait_share(operation, permission, now)
                 tried.clear()
+                if now >= deadline:
+                    continue
                 await asyncio.sleep(min(RETRY_INTERVAL, deadline - now))
                 continue
             try:
@@ -154,6 +169,19 @@
                 return placement
             reason = "the primary changed while the statement waited"
 
+    def _wait_share(self, operation: Operation, permission: lease.Permission, now: float) -> float:
+        """Return the part of its time limit for which a statement waits for a target.
+
+        A change of primary that everybody has confirmed is over in about a second, so
+        waiting for it serves the statement. An end of other causes is not in sight.
+        """
+        group = operation.database.group
+        if not permission.changing:
+            self._changing_since.pop(group, None)
+            return WAIT_FOR_TARGET
+        since = self._changing_since.setdefault(group, now)
+        return WAIT_FOR_CHANGE if now - since < USUAL_CHANGE else WAIT_FOR_TARGET
+
     def note_answer(
         self, operation: Operation, placement: Placement, answer: statements.TargetAnswer
     ) -> None:
--- a/src/greengageshunt/pooling/pool.py
+++ b/src/greengageshunt/pooling/pool.py
@@ -18,7 +18,7 @@
 
 logger = logging.getLogger(__name__)
 
-CONNECT_TIMEOUT = 0.6  # seconds
+CONNECT_TIMEOUT = 0.4  # seconds
 
 # Seconds for which the number of connections stays at what the target last allowed.
 REFUSED_LIMIT_PERIOD = 1.0
--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -21,9 +21,6 @@
 # Account under which statements run that need no key.
 OPEN_ACCOUNT = "-"
 
-# Part of a statement's time limit for which it may wait for a connection.
-WAIT_SHARE = 0.9
-
 # Seconds after which a statement that found no connection may be tried again.
 BUSY_RETRY_AFTER = 0.1
 
@@ -70,7 +67,6 @@
     digest: str
 
 
-@dataclasses.dataclass(kw_only=True)
 class Transaction:
     """The open transaction of a session.
 
@@ -82,11 +78,12 @@
         wrote: Whether it wrote.
     """
 
-    operation: execution.Operation
-    begin: statements.Statement
-    placement: execution.Placement | None = None
-    failed: bool = False
-    wrote: bool = False
+    def __init__(self, *, operation: execution.Operation, begin: statements.Statement) -> None:
+        self.operation = operation
+        self.begin = begin
+        self.placement: execution.Placement | None = None
+        self.failed = False
+        self.wrote = False
 
 
 def refusal(
@@ -569,10 +566,9 @@
         tried: set[str],
         received_at: float,
     ) -> result.Result[execution.Placement, errors.Refusal]:
-        wait = operation.database.statement_timeout * WAIT_SHARE
         try:
             placement = await self._host.executor.place(
-                operation, self._values, shapes, tried, received_at + wait
+                operation, self._values, shapes, tried, received_at
             )
         except execution.NotPlacedError as error:
             logs.log_decision(
--- /dev/null
+++ b/tests/support/entry_fleet.py
@@ -0,0 +1,240 @@
+"""Entry VMs as real processes on loopback, before the stand-ins of this folder."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections import abc
+
+from support import line_target, table_store
+
+GROUP = "ledger"
+GRACE = 4  # seconds
+
+BOUNDS = {
+    "grace-s": GRACE,
+    "contact-ms": 4000,
+    "quota-window-s": 5,
+    "quota-tolerance": 0,
+    "quota-slack": 0,
+}
+
+
+def free_port(host: str = "127.0.0.1") -> int:
+    """Return a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return probe.getsockname()[1]
+
+
+def configuration(version: int, *, keys: abc.Mapping[str, list[str]], rate: float = 1000) -> dict:
+    """Return a document of the operator: three databases over one group."""
+    kinds = ("primary", "bounded_staleness", "read_your_writes")
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": kind,
+                "host": f"db_{kind}",
+                "route-kind": kind,
+                "timeout-ms": 2000,
+                "latency-goal-ms": 300,
+                "priority": 1,
+                "service": GROUP,
+                "max-staleness-ms": 1500,
+                "public": False,
+            }
+            for kind in kinds
+        ],
+        "services": [{"name": GROUP, "max-conns": 16, "sync-replicas": 0}],
+        "limits": {"tx-idle-ms": 1000},
+        "tenants": [
+            {"name": name, "api-keys": held, "rate-per-s": rate, "burst": rate}
+            for name, held in keys.items()
+        ],
+    }
+
+
+class EntryVm:
+    """One process and its settings file."""
+
+    def __init__(self, *, name: str, host: str, folder: pathlib.Path, store_port: int) -> None:
+        self.name = name
+        self.host = host
+        self.front = free_port(host)
+        self.ready = free_port(host)
+        self.path = folder / f"{name}.conf"
+        self.log = folder / f"{name}.log"
+        self.process: subprocess.Popen | None = None
+        fields = {
+            "node-name": name,
+            "zone": "a",
+            "ip": host,
+            "listen.front": f"{host}:{self.front}",
+            "listen.ready": f"{host}:{self.ready}",
+            "internal-port-range": "17560,17575",
+            "platform.address": f"127.0.0.1:{store_port}",
+            "cloud.address": f"127.0.0.1:{store_port}",
+            **{f"bounds.{key}": value for key, value in BOUNDS.items()},
+        }
+        self.path.write_text("".join(f"{key}={value}\n" for key, value in fields.items()))
+
+    def start(self) -> None:
+        """Start the process."""
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "greengageshunt.programs.entry"],
+                env={**os.environ, "GREENGAGESHUNT_BOOT": str(self.path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def lines(self, message: str = "") -> list[dict]:
+        """Return the log lines, all or those with one message."""
+        found = []
+        for line in self.log.read_text().splitlines():
+            with contextlib.suppress(ValueError):
+                found.append(json.loads(line))
+        return [line for line in found if not message or line.get("message") == message]
+
+
+class Fleet:
+    """A store, one group of three targets, and entry VMs."""
+
+    def __init__(self, *, folder: pathlib.Path, size: int) -> None:
+        self.store = table_store.TableStore()
+        self.group = line_target.LineGroup(
+            name=GROUP, targets=("t-1", "t-2", "t-3"), connection_limit=16
+        )
+        self._store_port = free_port()
+        self.vms = [
+            EntryVm(
+                name=f"vm-{index}",
+                host=f"127.0.0.{20 + index}",
+                folder=folder,
+                store_port=self._store_port,
+            )
+            for index in range(size)
+        ]
+
+    async def __aenter__(self) -> "Fleet":
+        self.store.promote = self._promote
+        await self.store.start(self._store_port)
+        for target in self.group.targets.values():
+            await target.start(free_port())
+            self.announce(target)
+        for vm in self.vms:
+            vm.start()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for vm in self.vms:
+            if vm.process is not None and vm.process.poll() is None:
+                vm.signal(signal.SIGKILL)
+        for vm in self.vms:
+            if vm.process is not None:
+                vm.process.wait()
+        for target in self.group.targets.values():
+            await target.stop()
+        await self.store.stop()
+
+    def announce(self, target: line_target.LineTarget, state: str = "ready") -> None:
+        """Write the entry of a target, as it does itself."""
+        entry = {
+            "service": GROUP,
+            "address": f"127.0.0.1:{target.port}",
+            "zone": "a",
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "cold-left-ms": 0,
+            "db-role": "primary" if target.primary else "replica",
+            "sequence": 1,
+        }
+        self.store.put("servers", target.name, entry)
+
+    def configure(self, version: int, **fields: object) -> None:
+        """Write a configuration, as the operator does."""
+        self.store.put("op", "config", configuration(version, **fields))
+
+    async def wait_ready(self, limit: float = 15.0) -> None:
+        """Wait until all running entry VMs are ready, and the group has a record."""
+        until = time.monotonic() + limit
+        for vm in self.vms:
+            while await ready(vm) != 200 or not self.lead():
+                assert time.monotonic() < until, f"{vm.name} is not ready"
+                await asyncio.sleep(0.05)
+
+    def lead(self) -> dict | None:
+        """Return the record of the group's primary."""
+        row = self.store.rows.get(("greengageshunt", f"groups/{GROUP}"))
+        return json.loads(row[0]) if row else None
+
+    async def _promote(self, group: str, name: str) -> bool:
+        changed = await self.group.promote(name)
+        for target in self.group.targets.values():
+            if target.port:
+                self.announce(target)
+        return changed
+
+
+async def ready(vm: EntryVm) -> int:
+    """Return the status of the readiness page, 0 without an answer."""
+    try:
+        reader, writer = await asyncio.open_connection(vm.host, vm.ready)
+        writer.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        return int(line.split()[1])
+    except (OSError, IndexError):
+        return 0
+
+
+class Caller:
+    """One session of a caller."""
+
+    def __init__(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._count = 0
+
+    @classmethod
+    async def open(cls, vm: EntryVm, database: str, key: str) -> "Caller":
+        """Open a session.
+
+        Raises:
+            AssertionError: It was refused; the text is the answer.
+        """
+        reader, writer = await asyncio.open_connection(vm.host, vm.front)
+        writer.write(f"STARTUP {database} {key}\r\n".encode())
+        line = (await reader.readline()).decode().strip()
+        assert line == "READY I -", line
+        return cls(reader=reader, writer=writer)
+
+    async def run(self, text: str) -> tuple[list[str], str]:
+        """Run a statement; return its rows with the last line, and the state."""
+        self._count += 1
+        self._writer.write(f"QUERY q{id(self) % 10**6:x}{self._count:04x} {text}\r\n".encode())
+        lines = []
+        while True:
+            line = (await self._reader.readline()).decode()
+            if not line:
+                raise ConnectionResetError(f"closed during {text}")
+            if line.startswith("READY"):
+                return lines, line.split()[1]
+            lines.append(line.strip())
+
+    def close(self) -> None:
+        """Leave without a word."""
+        self._writer.close()
--- /dev/null
+++ b/tests/support/line_target.py
@@ -0,0 +1,250 @@
+"""Stand-in for a database group whose targets speak the line protocol."""
+
+import asyncio
+import contextlib
+import dataclasses
+
+REPLICATION_LAG = 0.02  # seconds
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Run:
+    """One statement that a target ran."""
+
+    statement_id: str
+    account: str
+    text: str
+    values: tuple[tuple[str, str], ...]
+    connection: int
+
+
+class LineTarget:
+    """One target: its log, its sessions and what it ran."""
+
+    def __init__(self, *, group: "LineGroup", name: str) -> None:
+        self.group = group
+        self.name = name
+        self.log: list[tuple[int, str, str]] = []
+        self.runs: list[Run] = []
+        self.sessions = 0
+        self.peak_sessions = 0
+        self.delay = 0.0
+        self.lose_answers = 0
+        self.deaf = False
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._connections = 0
+
+    @property
+    def primary(self) -> bool:
+        """Whether the target leads its group."""
+        return self.group.primary == self.name
+
+    @property
+    def position(self) -> str:
+        """Last position of the log."""
+        return f"{self.log[-1][0] if self.log else 1}.{len(self.log)}"
+
+    async def start(self, port: int) -> None:
+        """Serve on a loopback port."""
+        self.port = port
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+
+    async def stop(self) -> None:
+        """Crash: close the port and all connections."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            with contextlib.suppress(ConnectionError):
+                await self._session(reader, writer)
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _session(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        words = (await reader.readline()).decode().split()
+        if len(words) < 3 or words[1] != self.group.name:
+            writer.write(b"ERROR MISROUTED -\r\n")
+            return
+        if len(words) > 3 and words[3] != self.name:
+            writer.write(b"ERROR MISROUTED -\r\n")
+            return
+        if self.sessions >= self.group.connection_limit:
+            writer.write(b"ERROR CONNLIMIT -\r\n")
+            return
+        self.sessions += 1
+        self.peak_sessions = max(self.peak_sessions, self.sessions)
+        self._connections += 1
+        try:
+            session = _Session(target=self, account=words[2], number=self._connections)
+            writer.write(f"READY I {self.position}\r\n".encode())
+            while line := await reader.readline():
+                answer = await session.answer(line.decode().rstrip("\r\n"))
+                if answer is None:
+                    writer.transport.abort()
+                    return
+                writer.write(answer.encode())
+        finally:
+            self.sessions -= 1
+
+
+class _Session:
+    """One connection's values, prepared statements and transaction."""
+
+    def __init__(self, *, target: LineTarget, account: str, number: int) -> None:
+        self._target = target
+        self._account = account
+        self._number = number
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, str] = {}
+        self._state = "I"
+        self._writes: list[tuple[str, str]] = []
+        self._term = target.group.term
+
+    def _ready(self) -> str:
+        return f"READY {self._state} {self._target.position}\r\n"
+
+    def _complete(self, rows: str = "", signature: str = "-") -> str:
+        return f"{rows}COMPLETE {signature}\r\n{self._ready()}"
+
+    def _error(self, code: str) -> str:
+        if self._state == "T":
+            self._state = "E"
+        return f"ERROR {code} {self._target.name}\r\n{self._ready()}"
+
+    async def answer(self, line: str) -> str | None:
+        _, statement_id, text = line.split(" ", 2)
+        target, group = self._target, self._target.group
+        if target.delay:
+            await asyncio.sleep(target.delay)
+        if text.startswith("AFTER "):
+            _, position, text = text.split(" ", 2)
+            if not target_has(target, position):
+                return self._error("LAGGING")
+        word, _, rest = text.partition(" ")
+        if word == "STATUS":
+            role = "primary" if target.primary else "replica"
+            row = f"ROW {role} {group.term} {target.position} 0 0 0 {target.sessions}\r\n"
+            return self._complete(row)
+        if word == "STEPDOWN":
+            group.primary = "" if target.primary else group.primary
+            row = f"ROW replica {group.term} {target.position} 0 0 0 {target.sessions}\r\n"
+            return self._complete(row)
+        if word in ("SET", "PREPARE", "RESET", "CLOSE"):
+            self._setup(word, rest)
+            return self._complete()
+        if word in ("BEGIN", "ROLLBACK"):
+            return self._transaction(word, rest)
+        return await self._work(statement_id, word, rest, text)
+
+    def _setup(self, word: str, rest: str) -> None:
+        name, _, value = rest.partition(" ")
+        if word == "SET":
+            self._values[name] = value
+        elif word == "PREPARE":
+            self._prepared[name] = value
+        elif word == "CLOSE":
+            self._prepared.pop(name, None)
+        else:
+            self._values, self._prepared = {}, {}
+
+    def _transaction(self, word: str, rest: str) -> str:
+        if word == "ROLLBACK":
+            self._state, self._writes = "I", []
+            return self._complete()
+        if rest != "READ" and not self._target.primary:
+            return self._error("READONLY")
+        self._state, self._term = "T", self._target.group.term
+        return self._complete()
+
+    async def _work(self, statement_id: str, word: str, rest: str, text: str) -> str | None:
+        target = self._target
+        if word == "EXECUTE":
+            name, _, arguments = rest.partition(" ")
+            if name not in self._prepared:
+                return self._error("NOSTMT")
+            word, rest = self._prepared[name].split(" ")[0], arguments
+        run = Run(
+            statement_id=statement_id,
+            account=self._account,
+            text=text,
+            values=tuple(sorted(self._values.items())),
+            connection=self._number,
+        )
+        signature = f"{target.name}.{statement_id}"
+        if word == "WRITE":
+            if not target.primary:
+                return self._error("READONLY")
+            item, _, data = rest.partition(" ")
+            self._writes.append((item, data))
+            target.runs.append(run)
+            if self._state == "I":
+                self._commit()
+        elif word == "COMMIT":
+            if self._state == "E" or (self._writes and not target.primary):
+                self._state, self._writes = "I", []
+                return self._error("ABORTED")
+            target.runs.append(run)
+            self._state = "I"
+            self._commit()
+        else:
+            target.runs.append(run)
+            data = next((d for _, i, d in reversed(target.log) if i == rest), "none")
+            return self._lose(self._complete(f"ROW {data}\r\n", signature))
+        return self._lose(self._complete("", signature))
+
+    def _lose(self, answer: str) -> str | None:
+        if self._target.lose_answers:
+            self._target.lose_answers -= 1
+            return None
+        return answer
+
+    def _commit(self) -> None:
+        group = self._target.group
+        for item, data in self._writes:
+            self._target.log.append((group.term, item, data))
+            group.replicate()
+        self._writes = []
+
+
+def target_has(target: LineTarget, position: str) -> bool:
+    """Return whether a target's log has a position."""
+    term, _, number = position.partition(".")
+    own_term, _, own_number = target.position.partition(".")
+    return (int(term), int(number)) <= (int(own_term), int(own_number))
+
+
+class LineGroup:
+    """A primary and its replicas."""
+
+    def __init__(self, *, name: str, targets: tuple[str, ...], connection_limit: int) -> None:
+        self.name = name
+        self.connection_limit = connection_limit
+        self.term = 1
+        self.primary = targets[0]
+        self.targets = {target: LineTarget(group=self, name=target) for target in targets}
+
+    def replicate(self) -> None:
+        """Copy the primary's log to the replicas, a little later."""
+        asyncio.get_running_loop().call_later(REPLICATION_LAG, self._copy)
+
+    def _copy(self) -> None:
+        source = self.targets.get(self.primary)
+        for target in self.targets.values():
+            if source is not None and target is not source and not target.deaf:
+                target.log = list(source.log)
+
+    async def promote(self, name: str) -> bool:
+        """Make a target the primary of the next term."""
+        if self.primary != name:
+            await asyncio.sleep(REPLICATION_LAG)
+            self.primary = name
+            self.term += 1
+        return True
--- /dev/null
+++ b/tests/support/table_store.py
@@ -0,0 +1,138 @@
+"""Stand-in for the platform: rows with a feed, and orders to change a primary."""
+
+import asyncio
+import base64
+import json
+import time
+from collections import abc
+
+from aiohttp import web
+
+
+class TableStore:
+    """Serves rows over HTTP; tests change its state from inside."""
+
+    def __init__(self) -> None:
+        self.down = False
+        self.refused: set[str] = set()
+        self.lost_history_before = 0
+        self.lose_answers = 0
+        self.version = 0
+        self.rows: dict[tuple[str, str], tuple[bytes, int]] = {}
+        self.changes: list[tuple[int, str, str, bytes | None]] = []
+        self.orders: list[tuple[str, str, str, int]] = []
+        self.tokens: dict[str, int] = {}
+        self.promote: abc.Callable[[str, str], abc.Awaitable[bool]] | None = None
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+
+    async def start(self, port: int) -> None:
+        """Serve on a loopback port."""
+        app = web.Application(middlewares=[self._refuse])
+        app.router.add_get("/rows-get", self._get)
+        app.router.add_get("/rows-feed", self._feed)
+        app.router.add_post("/rows-tx", self._transact)
+        app.router.add_post("/failover", self._failover)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", port).start()
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def put(self, table: str, key: str, value: object) -> None:
+        """Write a row as the operator or a target does."""
+        self.put_raw(table, key, json.dumps(value).encode())
+
+    def put_raw(self, table: str, key: str, value: bytes) -> None:
+        """Write bytes that need not be a document."""
+        self.version += 1
+        self.rows[(table, key)] = (value, self.version)
+        self._note(table, key, value)
+
+    def delete(self, table: str, key: str) -> None:
+        """Delete a row."""
+        self.version += 1
+        self.rows.pop((table, key), None)
+        self._note(table, key, None)
+
+    def _note(self, table: str, key: str, value: bytes | None) -> None:
+        self.changes.append((self.version, table, key, value))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    @web.middleware
+    async def _refuse(self, request: web.Request, handler: abc.Callable) -> web.StreamResponse:
+        if self.down:
+            return web.json_response({}, status=503)
+        return await handler(request)
+
+    def _row(self, table: str, key: str, value: bytes, version: int) -> dict[str, object]:
+        encoded = base64.b64encode(value).decode()
+        return {"table": table, "part": "", "key": key, "value": encoded, "row-version": version}
+
+    def _answer(self, rows: list[dict[str, object]], **fields: object) -> web.Response:
+        now_ms = time.monotonic() * 1000
+        return web.json_response(
+            {"rows": rows, "row-version": self.version, "now-ms": now_ms, **fields}
+        )
+
+    async def _get(self, request: web.Request) -> web.Response:
+        table = request.query["table"]
+        found = sorted((key, item) for (name, key), item in self.rows.items() if name == table)
+        rows = [self._row(table, key, value, version) for key, (value, version) in found]
+        return self._answer(rows, **{"has-more": False})
+
+    async def _feed(self, request: web.Request) -> web.Response:
+        table, after = request.query["table"], int(request.query["after"])
+        until = time.monotonic() + int(request.query["wait-ms"]) / 1000
+        if after < self.lost_history_before:
+            return web.json_response({}, status=410)
+        while True:
+            found = [item for item in self.changes if item[0] > after and item[1] == table]
+            left = until - time.monotonic()
+            if found or left <= 0:
+                break
+            try:
+                await asyncio.wait_for(self._changed.wait(), left)
+            except TimeoutError:
+                continue
+        rows = []
+        for version, name, key, value in found:
+            row = self._row(name, key, value or b"", version)
+            rows.append(row if value is not None else {**row, "tombstone": True})
+        return self._answer(rows)
+
+    async def _transact(self, request: web.Request) -> web.Response:
+        document = await request.json()
+        for row in document["expected"]:
+            _, version = self.rows.get((row["table"], row["key"]), (b"", 0))
+            if version != row["row-version"]:
+                return web.json_response({"rows": [], "row-version": self.version}, status=412)
+        self.version += 1
+        for row in document["set-keys"]:
+            value = base64.b64decode(row["value"])
+            self.rows[(row["table"], row["key"])] = (value, self.version)
+            self._note(row["table"], row["key"], value)
+        for row in document["delete-keys"]:
+            self.rows.pop((row["table"], row["key"]), None)
+            self._note(row["table"], row["key"], None)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            request.transport.abort()
+        return web.json_response({"row-version": self.version, "now-ms": 1})
+
+    async def _failover(self, request: web.Request) -> web.Response:
+        document = await request.json()
+        group, target = document["service"], document["id"]
+        token = int(request.headers["Greengageshunt-Fencing-Token"])
+        holder = request.headers["Greengageshunt-Duty-Holder"]
+        if token < self.tokens.get(group, 0):
+            return web.json_response({}, status=409)
+        self.tokens[group] = token
+        self.orders.append((group, target, holder, token))
+        if self.promote is not None and not await self.promote(group, target):
+            return web.json_response({}, status=409)
+        return web.json_response({})
--- /dev/null
+++ b/tests/test_platform/test_entry.py
@@ -0,0 +1,228 @@
+"""The program of the platform end to end, as real processes before stand-ins."""
+
+import asyncio
+import pathlib
+import signal
+import time
+
+import pytest
+
+from support import entry_fleet
+
+KEYS = {"one": ["key-one"], "two": ["key-two"]}
+
+# Seconds from a crash of the primary until a write succeeds again; the users' aim.
+FAILOVER_BOUND = 5.0
+
+# Seconds within which a withdrawn key stops working, also for connected callers.
+REVOCATION_BOUND = 5.0
+
+
+@pytest.fixture
+async def fleet(tmp_path: pathlib.Path):
+    """Three entry VMs that are ready."""
+    async with entry_fleet.Fleet(folder=tmp_path, size=3) as running:
+        running.configure(1, keys=KEYS)
+        await running.wait_ready()
+        yield running
+
+
+async def _write_until_served(vm: entry_fleet.EntryVm, limit: float) -> float:
+    started = time.monotonic()
+    while True:
+        caller = await entry_fleet.Caller.open(vm, "db_primary", "key-one")
+        lines, _ = await caller.run("WRITE a after")
+        caller.close()
+        if lines[-1].startswith("COMPLETE t-"):
+            return time.monotonic() - started
+        assert time.monotonic() - started < limit, lines
+        await asyncio.sleep(0.05)
+
+
+async def test_session_sees_its_own_write_on_a_replica_route(fleet):
+    """Guards against a read on a replica that lacks the session's own commit."""
+    caller = await entry_fleet.Caller.open(fleet.vms[0], "db_read_your_writes", "key-one")
+    for number in range(30):
+        lines, state = await caller.run(f"WRITE item value{number}")
+        assert lines[-1].startswith("COMPLETE t-1") and state == "I"
+        lines, _ = await caller.run("READ item")
+        assert lines[0] == f"ROW value{number}"
+
+
+async def test_transaction_keeps_its_connection_and_commits_once(fleet):
+    """Guards against statements of one transaction on several connections."""
+    caller = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
+    for text in ("BEGIN", "WRITE x 1", "WRITE y 2"):
+        lines, state = await caller.run(text)
+        assert state == "T", lines
+    lines, state = await caller.run("COMMIT")
+    assert lines[-1].startswith("COMPLETE t-1") and state == "I"
+    runs = [run for run in fleet.group.targets["t-1"].runs if run.account == "one"]
+    assert len({run.connection for run in runs}) == 1
+    assert [entry[1:] for entry in fleet.group.targets["t-1"].log] == [("x", "1"), ("y", "2")]
+
+
+async def test_prepared_names_and_values_of_sessions_do_not_mix(fleet):
+    """Guards against a statement that runs another session's shape, or with its values."""
+    first = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
+    second = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
+    await first.run("PREPARE s READ q1")
+    await second.run("PREPARE s WRITE q2")
+    await first.run("SET zone north")
+    await second.run("SET zone south")
+    for number in range(10):
+        lines, _ = await second.run(f"EXECUTE s thing value{number}")
+        assert lines[-1].startswith("COMPLETE t-1"), lines
+        lines, _ = await first.run("EXECUTE s thing")
+        assert lines[0] == f"ROW value{number}"
+    for run in fleet.group.targets["t-1"].runs:
+        assert run.values == (("zone", "south" if "value" in run.text else "north"),)
+
+
+async def test_connections_belong_to_one_account(fleet):
+    """Guards against a statement on a connection of another client account."""
+    callers = {
+        name: await entry_fleet.Caller.open(fleet.vms[0], "db_primary", f"key-{name}")
+        for name in ("one", "two")
+    }
+    for _ in range(5):
+        for name, caller in callers.items():
+            await caller.run(f"WRITE from {name}")
+    for run in fleet.group.targets["t-1"].runs:
+        assert run.text.endswith(run.account)
+
+
+async def test_crashed_primary_is_replaced(fleet):
+    """Guards against a group that stays without a primary after a crash."""
+    caller = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
+    await caller.run("WRITE a before")
+    await asyncio.sleep(0.2)
+    await fleet.group.targets["t-1"].stop()
+    assert await _write_until_served(fleet.vms[1], 3 * FAILOVER_BOUND) < FAILOVER_BOUND
+    new = fleet.group.targets[fleet.lead()["primary"]]
+    assert new.name != "t-1"
+    assert ("a", "before") in [entry[1:] for entry in new.log]
+    tokens = [token for *_, token in fleet.store.orders]
+    assert tokens == sorted(tokens)
+
+
+async def test_draining_primary_hands_over_without_loss(fleet):
+    """Guards against work on a primary that leaves, and against commits lost by the change."""
+    caller = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
+    served = []
+    fleet.announce(fleet.group.targets["t-1"], state="draining")
+    until = time.monotonic() + 4.0
+    while time.monotonic() < until:
+        value = f"v{len(served)}"
+        lines, _ = await caller.run(f"WRITE k{len(served)} {value}")
+        if lines[-1].startswith("COMPLETE t-"):
+            served.append(value)
+        await asyncio.sleep(0.02)
+    assert fleet.lead()["primary"] != "t-1"
+    log = [data for _, _, data in fleet.group.targets[fleet.lead()["primary"]].log]
+    assert set(served) <= set(log)
+    last = fleet.group.targets["t-1"].runs[-1]
+    assert last.text.split()[1] != f"k{len(served) - 1}"
+
+
+async def test_lost_answer_of_a_write_is_in_doubt_and_not_repeated(fleet):
+    """Guards against a write that runs twice, and against a false promise."""
+    caller = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
+    await caller.run("WRITE warm up")
+    fleet.group.targets["t-1"].lose_answers = 1
+    lines, state = await caller.run("WRITE once data")
+    assert lines[-1].startswith("ERROR INDOUBT") and state == "I"
+    assert sum(entry[1] == "once" for entry in fleet.group.targets["t-1"].log) == 1
+
+
+async def test_withdrawn_key_stops_for_connected_callers(fleet):
+    """Guards against a key that works on after it was withdrawn."""
+    caller = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
+    lines, _ = await caller.run("READ a")
+    assert lines[-1].startswith("COMPLETE t-1")
+    fleet.configure(2, keys={"one": [], "two": ["key-two"]})
+    until = time.monotonic() + REVOCATION_BOUND
+    while not (await caller.run("READ a"))[0][-1].startswith("ERROR DENIED"):
+        assert time.monotonic() < until
+        await asyncio.sleep(0.05)
+
+
+async def test_rates_hold_over_all_entry_vms(fleet):
+    """Guards against an account that gets its rate once on each entry VM."""
+    rate, burst, seconds = 20.0, 20.0, 3.0
+    fleet.configure(2, keys=KEYS, rate=rate)
+    await asyncio.sleep(1.0)
+    callers = [await entry_fleet.Caller.open(vm, "db_primary", "key-one") for vm in fleet.vms]
+    served = 0
+
+    async def send(caller: entry_fleet.Caller) -> None:
+        nonlocal served
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            lines, _ = await caller.run("READ a")
+            served += lines[-1].startswith("COMPLETE")
+            await asyncio.sleep(0.005)
+
+    await asyncio.gather(*(send(caller) for caller in callers))
+    assert rate * seconds * 0.6 <= served <= rate * seconds + burst + 1
+
+
+async def test_planned_stop_cuts_no_operation(fleet):
+    """Guards against a stop that breaks statements or short transactions."""
+    vm = fleet.vms[0]
+    caller = await entry_fleet.Caller.open(vm, "db_primary", "key-one")
+    await caller.run("BEGIN")
+    await caller.run("WRITE during stop")
+    vm.signal(signal.SIGTERM)
+    await asyncio.sleep(0.3)
+    assert await entry_fleet.ready(vm) == 503
+    lines, state = await caller.run("COMMIT")
+    assert lines[-1].startswith("COMPLETE t-1") and state == "I"
+    lines, _ = await caller.run("READ during")
+    assert lines[0] == "ROW stop"
+    await asyncio.to_thread(vm.process.wait, entry_fleet.GRACE + 1)
+    assert vm.process.returncode == 0
+
+
+async def test_store_outage_and_lost_history_do_not_stop_service(fleet):
+    """Guards against a service that needs the store for each statement, or stops after 410."""
+    caller = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
+    fleet.store.down = True
+    for _ in range(10):
+        lines, _ = await caller.run("WRITE outage data")
+        assert lines[-1].startswith("COMPLETE t-1")
+        await asyncio.sleep(0.2)
+    fleet.store.lost_history_before = fleet.store.version + 1
+    fleet.configure(2, keys={"one": ["key-new"], "two": []})
+    fleet.store.down = False
+    until = time.monotonic() + REVOCATION_BOUND
+    while not (await caller.run("READ a"))[0][-1].startswith("ERROR DENIED"):
+        assert time.monotonic() < until
+        await asyncio.sleep(0.05)
+
+
+async def test_unreadable_rows_of_others_are_left_out(fleet):
+    """Guards against a foreign row in the target list that ends the watch."""
+    fleet.store.put_raw("servers", "t-9", b"\xff\x00 not a document")
+    fleet.store.put("servers", "t-8", {"service": entry_fleet.GROUP, "state": "melting"})
+    caller = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
+    lines, _ = await caller.run("WRITE still served")
+    assert lines[-1].startswith("COMPLETE t-1")
+    fleet.announce(fleet.group.targets["t-3"], state="draining")
+    until = time.monotonic() + 5
+    while not any(
+        line.get("target") == "t-3" and line.get("draining")
+        for line in fleet.vms[0].lines("adopt-target")
+    ):
+        assert time.monotonic() < until
+        await asyncio.sleep(0.1)
+
+
+async def test_all_restarted_processes_serve_again(fleet):
+    """Guards against state that only running processes hold."""
+    for vm in fleet.vms:
+        vm.signal(signal.SIGKILL)
+        vm.process.wait()
+        vm.start()
+    await fleet.wait_ready()
+    assert await _write_until_served(fleet.vms[2], 10.0) < FAILOVER_BOUND
