--- /dev/null
+++ b/tests/test_admission/test_granted.py
@@ -0,0 +1,194 @@
+"""Reserve and grants: the limit holds over all entry VMs, whatever happens between them."""
+
+import dataclasses
+import math
+import random
+
+import pytest
+
+from greengageshunt import application, config, errors, model
+from greengageshunt.admission import granted
+from greengageshunt.coordination import records, view
+
+ACCOUNT = model.ClientAccount(name="one", weight=1.0, rate=20.0, burst=20.0)
+WINDOW = 5.0  # seconds
+
+
+class Clock:
+    """Seconds that the test sets."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+
+
+class Network:
+    """Delivers requests between the policies of one fleet, unless cut."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[str, object] = {}
+        self.cut: set[str] = set()
+
+    async def request(self, sender: str, vm: str, message: object) -> object:
+        """Return the answer of a peer."""
+        if vm not in self.handlers or {sender, vm} & self.cut:
+            raise errors.PeerError("cut", step="request", peer=vm, sent=False)
+        return await self.handlers[vm](message, 0.0)
+
+
+class _Peers:
+    """Server and links of one entry VM."""
+
+    def __init__(self, *, network: Network, vm: str) -> None:
+        self._network, self._vm = network, vm
+
+    def add_handler(self, kind: type, handler: object) -> None:
+        self._network.handlers[self._vm] = handler
+
+    async def request(self, vm: str, message: object, timeout: float) -> object:
+        return await self._network.request(self._vm, vm, message)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class _Me:
+    me: model.Member
+
+
+class _Watch:
+    def __init__(self) -> None:
+        self.reported_versions: dict[str, int] = {}
+
+
+def _row(vm: str, version: int) -> records.ControlRow:
+    entry = records.MemberEntry(
+        vm=vm, failure_domain="a", peer_address="127.0.0.1:1", incarnation="x"
+    )
+    return records.ControlRow(key=f"members/{vm}", version=version, value=view.codec.to_json(entry))
+
+
+def _policy(vm: str, vms: tuple[str, ...], clock: Clock, network: Network, **limits: float):
+    app = application.Application(name=vm, clock=lambda: clock.now)
+    app.add_event("configuration-changed")
+    view.setup(app)
+    peers = _Peers(network=network, vm=vm)
+    member = model.Member(vm=vm, failure_domain="a", peer_address="127.0.0.1:1")
+    app.add_part("peers", "server", lambda app: peers)
+    app.add_part("peers", "links", lambda app: peers)
+    app.add_part("membership", "view", lambda app: _Me(me=member))
+    app.add_part("coordination", "watch", lambda app: _Watch())
+    granted.setup(app)
+    values = {"limits.tolerance": 0.0, "limits.slack": 0.0, "limits.window": WINDOW, **limits}
+    app.configure(config.Settings(values=values, source="test"))
+    policy = app.part("admission", "granted")
+    app.events.emit(
+        "configuration-changed",
+        model.Configuration(version=1, accounts=(ACCOUNT,), keys=(), routes=(), token_secret=""),
+    )
+    _learn(app, vms, clock, 1)
+    return app, policy
+
+
+def _learn(app, vms: tuple[str, ...], clock: Clock, version: int) -> None:
+    rows = tuple(_row(vm, version) for vm in vms)
+    changes = records.Changes(whole=True, rows=rows, removed=(), version=version, as_of=clock.now)
+    app.part("coordination", "view").apply(records.Section.CONTROL, changes, "test")
+
+
+async def _admit(policy: granted.TokenGrants, clock: Clock) -> bool:
+    # Long enough to ask holders, too short to wait for the next token.
+    decided = await policy.admit(ACCOUNT, clock.now + 1e-6)
+    return decided.admitted
+
+
+def _largest_window(times: list[float]) -> int:
+    return max((sum(start <= at < start + WINDOW for at in times) for start in times), default=0)
+
+
+@pytest.mark.parametrize("seed", range(12))
+async def test_limit_holds_in_every_window(seed):
+    """Guards against a sum above the limit: by cuts, by restarts, by a skewed load."""
+    rng = random.Random(seed)
+    clock, network = Clock(), Network()
+    vms = tuple(f"vm-{index}" for index in range(8))
+    fleet = {vm: _policy(vm, vms, clock, network) for vm in vms}
+    times: list[float] = []
+    for step in range(2000):
+        clock.now += rng.expovariate(150.0)
+        if rng.random() < 0.003:
+            network.cut = set(rng.sample(vms, rng.randrange(4)))
+        if rng.random() < 0.003:
+            for vm in rng.sample(vms, rng.choice((1, 8))):
+                fleet[vm] = _policy(vm, vms, clock, network)
+        for vm, (app, _) in fleet.items():
+            if step % 50 == 0 and vm not in network.cut:
+                _learn(app, vms, clock, 1)
+        vm = rng.choice(vms[: rng.choice((1, 3, 8))])
+        if await _admit(fleet[vm][1], clock):
+            times.append(clock.now)
+    assert _largest_window(times) <= ACCOUNT.rate * WINDOW + ACCOUNT.burst
+
+
+async def test_one_entry_vm_can_use_nearly_all_of_an_account():
+    """Guards against refusals within the rate where one entry VM has all callers."""
+    clock, network = Clock(), Network()
+    vms = tuple(f"vm-{index}" for index in range(8))
+    fleet = {vm: _policy(vm, vms, clock, network) for vm in vms}
+    clock.now += 2.0
+    served = 0
+    for _ in range(int(10 * 0.6 * ACCOUNT.rate)):
+        clock.now += 1 / (0.6 * ACCOUNT.rate)
+        for app, _ in fleet.values():
+            _learn(app, vms, clock, 1)
+        served += await _admit(fleet["vm-0"][1], clock)
+    assert served >= 0.98 * int(10 * 0.6 * ACCOUNT.rate)
+
+
+async def test_holder_that_the_store_does_not_confirm_stops_granting():
+    """Guards against grants by an entry VM that may no longer hold the account."""
+    clock, network = Clock(), Network()
+    _, policy = _policy("vm-0", ("vm-0",), clock, network)
+    clock.now += 5.0
+    request = granted.GrantRequest(account="one", tokens=1.0)
+    assert (await policy._answer(request, clock.now)).tokens == 1.0
+    clock.now += 10.0
+    assert (await policy._answer(request, clock.now)).tokens == 0.0
+
+
+def test_new_holder_waits_unless_all_know_the_names():
+    """Guards against two sets of holders that grant at the same time."""
+    before = granted.Names(names=("a", "b", "c", "d"), seen_at=-math.inf, version=3)
+    after = granted.Names(names=("b", "c", "d", "e"), seen_at=50.0, version=9)
+    account = next(
+        name
+        for name in (f"account-{number}" for number in range(100))
+        if "a" in granted.holders_of(name, before.names)
+        and "e" in granted.holders_of(name, after.names)
+    )
+    known = (after, before)
+    assert not granted.may_grant(account, "e", known, 8, 51.0)
+    assert granted.may_grant(account, "e", known, 9, 51.0)
+    assert granted.may_grant(account, "e", known, 8, 50.01 + granted.HANDOVER)
+
+
+def test_holder_keeps_tokens_for_others_when_few_are_left():
+    """Guards against one entry VM that takes all tokens of an account."""
+    assert granted.granted(10.0, 40.0) == 10.0
+    assert granted.granted(10.0, 8.0) == 4.0
+    assert granted.granted(10.0, 1.5) == 1.0
+    assert granted.granted(10.0, 0.5) == 0.0
+
+
+async def test_tolerance_is_used_in_part():
+    """Guards against limits above what the operators tolerate in a window."""
+    clock, network = Clock(), Network()
+    app, policy = _policy(
+        "vm-0", ("vm-0",), clock, network, **{"limits.tolerance": 0.1, "limits.slack": 20.0}
+    )
+    clock.now += 5.0
+    times = []
+    for _ in range(3000):
+        clock.now += 0.005
+        _learn(app, ("vm-0",), clock, 1)
+        if await _admit(policy, clock):
+            times.append(clock.now)
+    limit = ACCOUNT.rate * WINDOW + ACCOUNT.burst
+    assert limit < _largest_window(times) <= 1.1 * limit + 20.0
