--- a/src/greengageshunt/commands/settings.py
+++ b/src/greengageshunt/commands/settings.py
@@ -12,6 +12,7 @@
 # Modules of the daemons, by the name that ``--program`` takes.
 _PROGRAMS = {
     "proxy": "greengageshunt.programs.proxy",
+    "entry": "greengageshunt.programs.entry",
     "failover": "greengageshunt.programs.failover",
     "ctl": "greengageshunt.programs.ctl",
 }
@@ -33,7 +34,8 @@
     """Check a settings file as the daemon does at its start."""
     path, program = context.arguments.file, context.arguments.program
     app = _application(program)
-    app.configure(config.load(path, app.declared_settings))
+    load = getattr(importlib.import_module(_PROGRAMS[program]), "LOAD", config.load)
+    app.configure(load(path, app.declared_settings))
     if program != "ctl":
         common.check_parts(app)
     line = f"{path.name} is valid for {_name(program)}"
@@ -52,8 +54,10 @@
         "# Settings",
         "",
         "Each program reads one TOML file, given with `--settings`. The part of a key before the",
-        "last dot is the TOML table. A faulty file ends the program with exit code 2. Check a file",
-        "with `greengageshuntctl settings check FILE --program proxy`.",
+        "last dot is the TOML table. `greengageshunt-entry` reads the platform's settings file",
+        "instead (`GREENGAGESHUNT_BOOT`), whose fields `platform/settings.py` translates.",
+        "A faulty file ends the program with exit code 2. Check a file with",
+        "`greengageshuntctl settings check FILE --program proxy`.",
         "",
         "This page is generated; after a change of a declared setting, run",
         "`greengageshuntctl settings reference > docs/operators/settings.md`.",
--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -656,6 +656,7 @@
             operation=operation.id,
             account=operation.account,
             database=operation.database.name,
+            group=operation.database.group,
             statement=statement.kind.value,
             target=placement.target,
             primary=placement.primary,
--- a/src/greengageshunt/programs/ctl.py
+++ b/src/greengageshunt/programs/ctl.py
@@ -23,6 +23,7 @@
     "greengageshunt.commands.key",
     "greengageshunt.commands.fleet",
     "greengageshunt.commands.group",
+    "greengageshunt.commands.request",
 )
 
 _EXIT_CODES = """exit codes:
--- a/src/greengageshunt/programs/entry.py
+++ b/src/greengageshunt/programs/entry.py
@@ -47,13 +47,17 @@
 )
 
 
+# Reads the platform's settings file.
+LOAD = functools.partial(settings.load, defaults=DEFAULTS)
+
+
 def main() -> None:
     """Run the entry VM."""
     common.run_daemon(
         "greengageshunt-entry",
         "Entry VM of the platform: sessions, limits and changes of primaries.",
         EXTENSIONS,
-        load=functools.partial(settings.load, defaults=DEFAULTS),
+        load=LOAD,
         settings_variable=SETTINGS_VARIABLE,
     )
 
