--- a/src/greengageshunt/admission/granted.py
+++ b/src/greengageshunt/admission/granted.py
@@ -31,6 +31,9 @@
 # Seconds after which granted tokens that were not spent are lost.
 GRANT_PERIOD = 1.5
 
+# Seconds after which a token that was given back is lost.
+GIVEN_BACK_PERIOD = 1.0
+
 # Seconds of its demand for which an entry VM asks for tokens.
 LOOK_AHEAD = 0.5
 
@@ -87,11 +90,13 @@
         names: Names of entry VMs, sorted.
         seen_at: Monotonic seconds; negative infinity for those found at the start.
         version: Version of the store that held them.
+        shrunk: Whether a name is missing that was registered before.
     """
 
     names: tuple[str, ...]
     seen_at: float
     version: int
+    shrunk: bool = False
 
 
 def holders_of(account: str, names: abc.Sequence[str]) -> tuple[str, ...]:
@@ -115,7 +120,9 @@
     for item in known:
         if vm not in holders_of(account, item.names):
             return False
-        if item.version <= common_version or now - item.seen_at >= HANDOVER:
+        # Who is no longer registered may not know it, and may still grant.
+        all_know = item.version <= common_version and not item.shrunk
+        if all_know or now - item.seen_at >= HANDOVER:
             return True
     return bool(known)
 
@@ -160,6 +167,7 @@
         self._accounts: dict[str, model.ClientAccount] = {}
         self._turns = itertools.count()
         self._refilling: set[str] = set()
+        self._reasons: dict[str, str] = {}
         app.events.connect("control-changed", self._note_names)
         app.events.connect("configuration-changed", self._adopt)
         app.part("peers", "server").add_handler(GrantRequest, self._answer)
@@ -195,10 +203,24 @@
             return decision.AdmissionDecision(admitted=True, reason="within the refill")
         return decision.AdmissionDecision(
             admitted=False,
-            reason="above the reserve, and no grant",
+            reason=f"above the reserve; grants: {self._reasons.get(name, 'none asked')}",
             retry_after=self._retry_after(name, self._app.clock()),
         )
 
+    def give_back(self, account: str) -> None:
+        """Take back the token of a request that no target ran.
+
+        Without this, requests that wait for a primary in vain use up the limit, and
+        their retries are refused.
+        """
+        now = self._app.clock()
+        tokens, until = self._tokens.get(account, (0.0, 0.0))
+        kept = tokens if now < until else 0.0
+        self._tokens[account] = (
+            min(kept + 1.0, LARGEST_GRANT),
+            max(until, now + GIVEN_BACK_PERIOD),
+        )
+
     def _spend(self, account: str, now: float) -> bool:
         tokens, until = self._tokens.get(account, (0.0, 0.0))
         if tokens >= 1.0 and now < until:
@@ -241,15 +263,19 @@
         names = self._known[0].names if self._known else ()
         holders = holders_of(account, names)
         turn = next(self._turns)
+        reasons = []
         for holder in (*holders[turn % HOLDERS :], *holders[: turn % HOLDERS]):
             now = self._app.clock()
             if now < self._empty_until.get((account, holder), now):
+                reasons.append(f"{holder} was empty")
                 continue
             grant = await self._request(account, holder, wanted)
             if grant.tokens >= 1.0:
                 self._tokens[account] = (grant.tokens, now + GRANT_PERIOD)
                 return True
+            reasons.append(f"{holder} {grant.reason}")
             self._empty_until[(account, holder)] = self._app.clock() + EMPTY_PERIOD
+        self._reasons[account] = ", ".join(reasons)
         return False
 
     async def _request(self, account: str, holder: str, wanted: float) -> Grant:
@@ -329,7 +355,14 @@
         recent = [item for item in self._known if now - item.seen_at < HANDOVER]
         # The first one that is older than the handover was in force during all of it.
         older = self._known[len(recent) : len(recent) + 1]
-        self._known = (Names(names=names, seen_at=seen_at, version=version), *recent, *older)
+        before = self._known[0].names if self._known else ()
+        newest = Names(
+            names=names,
+            seen_at=seen_at,
+            version=version,
+            shrunk=not set(before) <= set(names),
+        )
+        self._known = (newest, *recent, *older)
         logs.log_decision(logger, "adopt-holders", names=names, version=version)
 
     def _adopt(self, configuration: model.Configuration) -> None:
--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -17,8 +17,9 @@
 CHECK_INTERVAL = 0.5  # seconds
 
 # Seconds of silence towards this entry VM after which another one counts as gone. Longer than
-# a restart or a partition usually lasts, since a removal makes changes of primaries wait.
-GONE_AFTER = 20.0
+# a restart or a partition usually lasts; until the row is deleted, each change of a primary
+# waits for the end of the silent process's permissions.
+GONE_AFTER = 8.0
 
 # Seconds within which the mark of a stopped process must reach the store.
 STOP_TIMEOUT = 0.5
--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -37,6 +37,9 @@
 # wait for the end of their permissions, which takes longer than most partitions last.
 SUSPICION_DURING_PARTITION = 6.0
 
+# One part in so many of the entry VMs may be dead without the others being partitioned.
+FEW_PART = 8
+
 # Part of the entry VMs that must not reach a primary before it is replaced.
 UNREACHED_SHARE = 0.4
 
@@ -88,7 +91,9 @@
         registered: Entry VMs whose permissions count.
         failing_for: Seconds for which this entry VM has not reached it.
     """
-    patience = SUSPICION if asked >= registered else SUSPICION_DURING_PARTITION
+    dead = registered - asked
+    few = dead <= max(1, registered // FEW_PART)
+    patience = SUSPICION if few else SUSPICION_DURING_PARTITION
     enough = unreached >= min(asked, max(2, UNREACHED_SHARE * asked))
     return enough and failing_for >= patience
 
@@ -388,7 +393,10 @@
         """Make the old primary step down if it answers, and return who takes over."""
         statuses = await self._statuses(record.group)
         old = next((item for item in statuses if item.entry.target == record.primary), None)
-        if choose_successor(statuses, record.primary) is None:
+        back = old is not None and old.primary and not old.entry.draining
+        if back or choose_successor(statuses, record.primary) is None:
+            # It was out of reach and has not lost the lead; ordering it again fences off
+            # what may still be on its way.
             return old if old is not None and old.primary else None
         if old is not None and old.primary:
             await self._step_down(old)
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -171,8 +171,8 @@
 def setup(app: application.Application) -> None:
     """Register the watch of the store."""
     waits = {
-        "configuration": 3.0,
-        "targets": 10.0,
+        "configuration": 6.0,
+        "targets": 20.0,
         "control": 2.0,
     }
     for name, default in waits.items():
--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -334,6 +334,7 @@
         for _ in range(TRIES):
             placed = await self._place(transaction.operation, shapes, tried, received_at)
             if isinstance(placed, result.Failure):
+                self._host.give_back(transaction.operation)
                 return refused or placed.failure()
             placement = placed.unwrap()
             begin = transaction.begin
@@ -406,6 +407,18 @@
         if isinstance(admitted, result.Failure):
             return statements.CallerAnswer(refusal=admitted.failure())
         operation = admitted.unwrap()
+        answer = await self._try_targets(operation, statement, received_at)
+        if answer.refusal is not None and answer.refusal.code in statements.NOT_RUN:
+            self._host.give_back(operation)
+        return answer
+
+    async def _try_targets(
+        self,
+        operation: execution.Operation,
+        statement: statements.Statement,
+        received_at: float,
+    ) -> statements.CallerAnswer:
+        """Run a single statement at one target after the other, until one has run it."""
         shapes = self._shapes(statement)
         tried: set[str] = set()
         refused: statements.CallerAnswer | None = None
@@ -768,6 +781,11 @@
         self._log_refused("admit", request, identity, refused, account, decided.reason)
         return result.Failure(refused)
 
+    def give_back(self, operation: execution.Operation) -> None:
+        """Give back what the admission of an operation cost that no target ran."""
+        if operation.account != OPEN_ACCOUNT:
+            self._admission.give_back(operation.account)
+
     def report(self, report: Report) -> None:
         """Tell the metrics how a statement ended."""
         self._app.events.emit("statement-ended", report)
--- a/tests/test_admission/test_granted.py
+++ b/tests/test_admission/test_granted.py
@@ -167,6 +167,22 @@
     assert not granted.may_grant(account, "e", known, 8, 51.0)
     assert granted.may_grant(account, "e", known, 9, 51.0)
     assert granted.may_grant(account, "e", known, 8, 50.01 + granted.HANDOVER)
+    shrunk = dataclasses.replace(after, shrunk=True)
+    assert not granted.may_grant(account, "e", (shrunk, before), 9, 51.0)
+
+
+async def test_token_of_a_request_that_did_not_run_is_given_back():
+    """Guards against a limit that is used up by requests which wait for a primary in vain."""
+    clock, network = Clock(), Network()
+    app, policy = _policy("vm-0", ("vm-0",), clock, network)
+    clock.now += 5.0
+    _learn(app, ("vm-0",), clock, 1)
+    served = 0
+    while await _admit(policy, clock):
+        served += 1
+    policy.give_back("one")
+    assert served and await _admit(policy, clock)
+    assert not await _admit(policy, clock)
 
 
 def test_holder_keeps_tokens_for_others_when_few_are_left():
--- a/tests/test_coordination/test_promotion.py
+++ b/tests/test_coordination/test_promotion.py
@@ -52,6 +52,11 @@
     assert _replace(unreached=1, asked=1, registered=1)
 
 
+def test_one_dead_entry_vm_is_no_partition():
+    """Guards against a group without a primary for 16 s: the primary and one entry VM gone."""
+    assert _replace(unreached=7, asked=7, failing_for=0.5)
+
+
 def test_partition_is_given_time():
     """Guards against a change that takes longer than the partition, on either side."""
     assert not _replace(unreached=6, asked=6, failing_for=5.0)
