--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -15,6 +15,7 @@
 logger = logging.getLogger(__name__)
 
 CHECK_INTERVAL = 0.5  # seconds
+START_INTERVAL = 0.05  # seconds between looks at whether the store was read
 
 # Seconds of silence towards this entry VM after which another one counts as gone. Longer than
 # a restart or a partition usually lasts; until the row is deleted, each change of a primary
@@ -73,7 +74,9 @@
         while True:
             delay = CHECK_INTERVAL
             try:
-                if not self._written and not self._app.stopping:
+                if not self._view.copy(records.Section.CONTROL).version:
+                    delay = START_INTERVAL
+                elif not self._written and not self._app.stopping:
                     await self._register()
                 else:
                     await self._remove_gone(self._app.clock())
@@ -99,8 +102,6 @@
             logger.warning("member row not marked as stopped", extra={"reason": str(error)})
 
     async def _register(self) -> None:
-        if not self._view.copy(records.Section.CONTROL).version:
-            return
         key = view.MEMBER_PREFIX + self._me.vm
         row = self._view.row(key)
         etag = str(row.version) if row else None
--- a/src/greengageshunt/frontends/readiness.py
+++ b/src/greengageshunt/frontends/readiness.py
@@ -18,7 +18,13 @@
 
 
 def decide(
-    *, stopping: bool, configured: bool, registered: bool, targets: int, age: float
+    *,
+    stopping: bool,
+    configured: bool,
+    registered: bool,
+    isolated: bool,
+    targets: int,
+    age: float,
 ) -> tuple[bool, str]:
     """Return whether an entry VM is ready, and why.
 
@@ -26,6 +32,8 @@
         stopping: Whether a stop was requested.
         configured: Whether a configuration is in force.
         registered: Whether it is registered, or has waited for that long enough.
+        isolated: Whether it is cut off from all other failure domains, whose entry
+            VMs serve new connections better.
         targets: Number of known targets.
         age: Seconds since the target list was confirmed.
     """
@@ -35,6 +43,8 @@
         return False, "no configuration"
     if not registered:
         return False, "not registered"
+    if isolated:
+        return False, "isolated"
     if not targets:
         return False, "no targets"
     if age > STALE_AFTER:
@@ -50,6 +60,7 @@
         self._view = app.part("coordination", "view")
         self._configuration = app.part("configuration", "state")
         self._members = app.part("coordination", "members")
+        self._isolation = app.part("coordination", "isolation")
         self._started_at = app.clock()
         self._was_registered = False
         self._told: tuple[bool, str] | None = None
@@ -68,6 +79,7 @@
             stopping=self._app.stopping,
             configured=self._configuration.version > 0,
             registered=self._was_registered,
+            isolated=self._isolation.isolated_for(now) > 0,
             targets=len(copy.rows),
             age=age,
         )
--- a/src/greengageshunt/membership/view.py
+++ b/src/greengageshunt/membership/view.py
@@ -108,6 +108,10 @@
         else:
             self._leaving.discard(vm)
 
+    def answered_at(self, vm: str) -> float:
+        """Return the monotonic seconds of a member's last answer, or of its first listing."""
+        return self._last_answer.get(vm, float("-inf"))
+
     def answers(self, vm: str, now: float) -> bool:
         """Return whether a member answered within the deadline."""
         if vm == self._me.vm:
--- a/src/greengageshunt/platform/frontend.py
+++ b/src/greengageshunt/platform/frontend.py
@@ -23,6 +23,8 @@
 # Seconds between looks at sessions that may be closed.
 CLOSE_INTERVAL = 0.05
 
+ISOLATION_INTERVAL = 0.25  # seconds between looks at whether this entry VM is cut off
+
 # Part of the grace for which open transactions may go on.
 TRANSACTION_SHARE = 0.5
 
@@ -67,8 +69,22 @@
         server = await asyncio.start_server(
             self._serve, host, int(port), limit=wire.LINE_LIMIT, backlog=BACKLOG
         )
-        async with server:
-            await server.serve_forever()
+        async with server, asyncio.TaskGroup() as group:
+            group.create_task(server.serve_forever())
+            group.create_task(self._leave_callers())
+
+    async def _leave_callers(self) -> None:
+        """Close idle sessions while this entry VM is cut off; they open again elsewhere.
+
+        The balancer sends them to other failure domains once it has seen that this
+        entry VM is not ready.
+        """
+        isolation = self._app.part("coordination", "isolation")
+        while True:
+            if isolation.isolated_for(self._app.clock()) > ROTATION_DELAY:
+                for client in tuple(self._clients):
+                    client.close_if_idle()
+            await asyncio.sleep(ISOLATION_INTERVAL)
 
     async def stop(self) -> None:
         """Let operations end, and close the sessions between them."""
--- a/src/greengageshunt/pooling/pool.py
+++ b/src/greengageshunt/pooling/pool.py
@@ -26,6 +26,9 @@
 # Seconds for which a target that did not answer is left alone.
 UNREACHABLE_PERIOD = 0.3
 
+# Seconds for which a target that refused the only connection is left alone.
+REFUSED_PERIOD = 0.1
+
 # Waiting statements of the connection's own account that may overtake others.
 OVERTAKING = 4
 
@@ -261,6 +264,9 @@
             if error.code:
                 self.note_answer(now)
                 self._refused_limit, self._refused_at = self._open - 1, now
+                if self._open == 1:
+                    # Connections of processes that ended in the dark count for seconds.
+                    self._failed_at = now - UNREACHABLE_PERIOD + REFUSED_PERIOD
             else:
                 self.note_failure(now)
             logs.log_decision(
--- a/src/greengageshunt/programs/entry.py
+++ b/src/greengageshunt/programs/entry.py
@@ -37,6 +37,7 @@
     "greengageshunt.admission.granted",
     "greengageshunt.configuration.exchange",
     "greengageshunt.pooling.pools",
+    "greengageshunt.coordination.isolation",
     "greengageshunt.pooling.freshness",
     "greengageshunt.pooling.execution",
     "greengageshunt.pooling.session",
