Split sessions into host, identity, reports and session; give a refused commit's connection back

A commit that was refused before it was sent kept its connection's room in the pool; found by reading. The token of a read whose connection broke is no longer given back: it may have run.

--- a/src/greengageshunt/coordination/view.py
+++ b/src/greengageshunt/coordination/view.py
@@ -128,10 +128,6 @@
         """Take over the confirmation of a peer with equal rows."""
         self._copies[section] = confirm(self._copies[section], digest, version, as_of)
 
-    def forget(self, section: records.Section) -> None:
-        """Make the next reading of a section a whole one; its rows stay in use."""
-        self._copies[section] = dataclasses.replace(self._copies[section], version=0)
-
     def note_row(self, row: records.ControlRow) -> None:
         """Take over one newer row of the control table, from a peer or an own write.
 
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -37,11 +37,6 @@
         self._links.add_extra("store", self._report, self._note_report)
         app.part("peers", "server").add_handler(records.CopyRequest, self._answer_copy)
 
-    @property
-    def available(self) -> bool:
-        """Whether the store answered the last call about the control table."""
-        return self._available[records.Section.CONTROL]
-
     @property
     def reported_versions(self) -> abc.Mapping[str, int]:
         """Version of the control table that each peer said to have, by its name."""
--- a/src/greengageshunt/metrics/entry.py
+++ b/src/greengageshunt/metrics/entry.py
@@ -11,7 +11,7 @@
 from greengageshunt.coordination import records
 from greengageshunt.frontends import pages
 from greengageshunt.metrics import families, latency
-from greengageshunt.pooling import session
+from greengageshunt.pooling import reports
 
 PREFIX = families.PREFIX
 
@@ -102,7 +102,7 @@
             values = {(target,): read(pool) for target, pool in pools.items()}
             yield families.gauge(f"pool_{name}", doc, ("target",), values)
 
-    def _note_statement(self, report: session.Report) -> None:
+    def _note_statement(self, report: reports.Report) -> None:
         served_by = "replica" if report.replica else "primary"
         key = (report.consistency, report.kind, report.code, report.step, served_by)
         self._statements[key] += 1
--- a/src/greengageshunt/platform/frontend.py
+++ b/src/greengageshunt/platform/frontend.py
@@ -7,6 +7,7 @@
 
 from greengageshunt import application, config
 from greengageshunt.platform import wire
+from greengageshunt.pooling import host as host_module
 from greengageshunt.pooling import session as session_module
 from greengageshunt.pooling import statements
 
@@ -53,7 +54,7 @@
 
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
-        self._host: session_module.SessionHost = app.part("pooling", "sessions")
+        self._host: host_module.SessionHost = app.part("pooling", "sessions")
         self._grace = app.settings["stop.grace"]
         self._clients: set[_Client] = set()
         self._closing = False
--- a/src/greengageshunt/platform/targets.py
+++ b/src/greengageshunt/platform/targets.py
@@ -13,9 +13,6 @@
 # Id of statements that no caller sent.
 _OWN_ID = "-"
 
-# Account under which the system itself connects for status and orders.
-SYSTEM_ACCOUNT = "-"
-
 # Milliseconds without an acknowledgement after which the kernel gives a connection up.
 TCP_USER_TIMEOUT_MS = 3000
 
--- a/src/greengageshunt/platform/wire.py
+++ b/src/greengageshunt/platform/wire.py
@@ -11,8 +11,10 @@
     statements.TransactionState.FAILED: "E",
 }
 
-# Word: (kind, number of fields after it; the last one may be left out where it is negative).
+# Statements without fields.
 _PLAIN = {
+    "BEGIN": statements.Kind.BEGIN,
+    "BEGIN READ": statements.Kind.BEGIN_READ,
     "COMMIT": statements.Kind.COMMIT,
     "ROLLBACK": statements.Kind.ROLLBACK,
 }
@@ -83,10 +85,6 @@
         return statements.Kind.EXECUTE, {"name": words[1], "arguments": arguments}
     if text in _PLAIN:
         return _PLAIN[text], {}
-    if text == "BEGIN":
-        return statements.Kind.BEGIN, {}
-    if text == "BEGIN READ":
-        return statements.Kind.BEGIN_READ, {}
     return _decode_setup(words, text)
 
 
--- a/src/greengageshunt/pooling/pool.py
+++ b/src/greengageshunt/pooling/pool.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import collections
-import contextlib
 import logging
 from collections import abc
 from typing import Any
@@ -150,22 +149,6 @@
         while self._idle:
             self._drop(self._idle.pop())
 
-    @contextlib.asynccontextmanager
-    async def lend(
-        self, account: str, values: abc.Mapping[str, str], priority: int, deadline: float
-    ) -> abc.AsyncIterator[Any]:
-        """Lend a connection of an account, for the time of a ``with`` block.
-
-        Raises:
-            PoolBusyError: None came free by the deadline.
-            TargetError: The target cannot be reached, or refused.
-        """
-        connection = await self.acquire(account, values, priority, deadline)
-        try:
-            yield connection
-        finally:
-            self.release(connection)
-
     async def acquire(
         self, account: str, values: abc.Mapping[str, str], priority: int, deadline: float
     ) -> Any:
--- a/src/greengageshunt/pooling/pools.py
+++ b/src/greengageshunt/pooling/pools.py
@@ -6,10 +6,6 @@
 from greengageshunt.coordination import records, view
 from greengageshunt.pooling import pool
 
-# Share of a target's connections that the entry VMs divide among themselves. The rest is
-# for status calls, and for entry VMs that do not yet know of each other.
-DIVIDED_SHARE = 1.0
-
 # Connections that a target accepts while its group's limits are unknown.
 UNKNOWN_LIMIT = 1
 
@@ -44,15 +40,10 @@
             self._pools[entry.target] = known
         return known
 
-    def close_idle(self) -> None:
-        """Close all idle connections."""
-        for known in self._pools.values():
-            known.close_idle()
-
     def _limit(self, group: str) -> int:
         limits = self._configuration.current.groups_by_name.get(group)
         allowed = limits.connection_limit if limits else UNKNOWN_LIMIT
-        return int(allowed * DIVIDED_SHARE / max(1, len(self._members.members)))
+        return allowed // max(1, len(self._members.members))
 
     def _update(self, entries: tuple[records.TargetEntry, ...]) -> None:
         listed = {entry.target: entry for entry in entries}
--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -8,9 +8,8 @@
 
 from returns import result
 
-from greengageshunt import application, errors, logs, model
-from greengageshunt.configuration import keys
-from greengageshunt.pooling import execution, statements
+from greengageshunt import errors, logs, model
+from greengageshunt.pooling import execution, identity, reports, statements
 
 logger = logging.getLogger(__name__)
 
@@ -18,11 +17,9 @@
 _OPEN = statements.TransactionState.OPEN
 _FAILED = statements.TransactionState.FAILED
 
-# Account under which statements run that need no key.
-OPEN_ACCOUNT = "-"
-
-# Seconds after which a statement that found no connection may be tried again.
-BUSY_RETRY_AFTER = 0.1
+# Steps of refusals that say for certain that no target ran the statement; a read whose
+# connection broke may have run.
+_STEPS_NOT_RUN = ("place", "refused by target")
 
 # Tries of one statement after answers which say that it did not run.
 TRIES = 4
@@ -34,37 +31,20 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Report:
-    """How a statement ended, for the metrics.
+class Attempt:
+    """One statement on one connection.
 
     Attributes:
-        consistency: Consistency of the database; empty without one.
-        kind: Kind of the statement.
-        code: Code of the error, or ``ok``.
-        step: Step at which the error arose, or an empty string.
-        seconds: Seconds from the receipt to the answer.
-        replica: Whether a replica served it.
+        operation: Operation that the statement belongs to.
+        placement: Connection and target.
+        statement: The statement.
+        received_at: Monotonic seconds at which it was received.
     """
 
-    consistency: str
-    kind: str
-    code: str
-    step: str
-    seconds: float
-    replica: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Identity:
-    """Who opened a session, and which database.
-
-    Attributes:
-        database: Name of the database.
-        digest: Digest of the key, or an empty string.
-    """
-
-    database: str
-    digest: str
+    operation: execution.Operation
+    placement: execution.Placement
+    statement: statements.Statement
+    received_at: float
 
 
 class Transaction:
@@ -86,54 +66,12 @@
         self.wrote = False
 
 
-def refusal(
-    code: statements.Code,
-    message: str,
-    *,
-    step: str,
-    peer: str = "",
-    retry_after: float | None = None,
-) -> errors.Refusal:
-    """Return an error for a caller; its code says whether the statement ran."""
-    not_run = code in statements.NOT_RUN or code in (
-        statements.Code.ABORTED,
-        statements.Code.DENIED,
-        statements.Code.NO_DATABASE,
-        statements.Code.MALFORMED,
-    )
-    return errors.Refusal(
-        code=code,
-        message=message,
-        outcome=errors.Outcome.NOT_RUN if not_run else errors.Outcome.UNKNOWN,
-        step=step,
-        peer=peer,
-        retry_after=retry_after,
-    )
-
-
-def authorize(
-    configuration: model.Configuration, identity: Identity
-) -> result.Result[tuple[model.Database, str], errors.Refusal]:
-    """Return the database and the client account of a session, by a configuration."""
-    database = configuration.databases_by_name.get(identity.database)
-    if database is None:
-        return result.Failure(
-            refusal(statements.Code.NO_DATABASE, "no such database", step="authorize")
-        )
-    account = configuration.accounts_by_digest.get(identity.digest)
-    if account is not None:
-        return result.Success((database, account))
-    if database.open:
-        return result.Success((database, OPEN_ACCOUNT))
-    return result.Failure(refusal(statements.Code.DENIED, "the key is unknown", step="authorize"))
-
-
 class Session:
     """One session; its front end hands it one statement at a time."""
 
-    def __init__(self, *, host: "SessionHost", identity: Identity) -> None:
+    def __init__(self, *, host: Any, who: identity.Identity) -> None:
         self._host = host
-        self._identity = identity
+        self._who = who
         self._values: dict[str, str] = {}
         self._prepared: dict[str, str] = {}
         self._transaction: Transaction | None = None
@@ -238,7 +176,7 @@
         self, statement: statements.Statement, received_at: float, *, primary_only: bool
     ) -> result.Result[execution.Operation, errors.Refusal]:
         """Check the key, the confirmation and the rate at the start of an operation."""
-        admitted = await self._host.admit(self._identity, statement.id, received_at)
+        admitted = await self._host.admit(self._who, statement.id, received_at)
         if isinstance(admitted, result.Failure):
             return admitted
         database, account = admitted.unwrap()
@@ -289,6 +227,7 @@
         refused = await self._enter(transaction, (), received_at)
         if refused is not None:
             self._transaction = None
+            await self._give_back(transaction)
             return statements.CallerAnswer(refusal=refused)
         answer = await self._send(transaction, statement, statement.text, received_at)
         self._transaction = None
@@ -325,7 +264,7 @@
                     self._values, shapes, execution.SETUP_TIMEOUT
                 )
             except errors.TargetError as error:
-                return refusal(
+                return identity.refusal(
                     statements.Code.ABORTED, str(error), step=error.step, peer=error.peer
                 )
             return None
@@ -338,6 +277,12 @@
                 return refused or placed.failure()
             placement = placed.unwrap()
             begin = transaction.begin
+            attempt = Attempt(
+                operation=transaction.operation,
+                placement=placement,
+                statement=begin,
+                received_at=received_at,
+            )
             try:
                 answer = await placement.connection.run(
                     begin.id,
@@ -348,29 +293,29 @@
             except errors.TargetError as error:
                 self._host.executor.note_failure(placement)
                 answer = None
-                refused = refusal(
+                refused = identity.refusal(
                     statements.Code.BUSY,
                     str(error),
                     step="begin",
                     peer=error.peer,
-                    retry_after=BUSY_RETRY_AFTER,
+                    retry_after=identity.BUSY_RETRY_AFTER,
                 )
             else:
                 self._host.executor.note_answer(transaction.operation, placement, answer)
                 if not answer.code:
                     transaction.placement = placement
-                    self._log(transaction.operation, placement, begin, "ok", received_at)
+                    self._log(attempt, "ok")
                     return None
-                refused = refusal(
+                refused = identity.refusal(
                     statements.Code.BUSY,
                     f"{answer.code} {answer.message}",
                     step="begin",
                     peer=placement.target,
-                    retry_after=BUSY_RETRY_AFTER,
+                    retry_after=identity.BUSY_RETRY_AFTER,
                 )
             placement.pool.release(placement.connection)
             tried.add(placement.target)
-            self._log(transaction.operation, placement, begin, refused.message, received_at)
+            self._log(attempt, refused.message)
         return refused
 
     async def _send(
@@ -381,22 +326,26 @@
         received_at: float,
     ) -> statements.CallerAnswer:
         """Send a statement or the commit of a transaction on its connection."""
-        placement = transaction.placement
-        operation = transaction.operation
+        attempt = Attempt(
+            operation=transaction.operation,
+            placement=transaction.placement,
+            statement=statement,
+            received_at=received_at,
+        )
         commit = statement.kind is statements.Kind.COMMIT
         ends_write = commit and transaction.wrote
-        answer = await self._run_on(operation, placement, statement, text, received_at, ends_write)
+        answer = await self._run_on(attempt, text, ends_write)
         if isinstance(answer, errors.TargetError):
             if not commit:
-                return self._broken(answer, operation, placement, statement, received_at)
+                return self._broken(answer, attempt)
             code = statements.Code.INDOUBT if transaction.wrote else statements.Code.ABORTED
-            self._log(operation, placement, statement, code, received_at, str(answer))
+            self._log(attempt, code, str(answer))
             return self._refuse(code, str(answer), answer.step, answer.peer)
         if answer.code:
-            return self._target_error(answer, operation, placement, statement, received_at)
+            return self._target_error(answer, attempt)
         if ends_write:
-            return self._acknowledge(answer, operation, placement, statement, received_at)
-        self._log(operation, placement, statement, "ok", received_at)
+            return self._acknowledge(answer, attempt)
+        self._log(attempt, "ok")
         return statements.CallerAnswer(rows=answer.rows, signature=answer.signature)
 
     async def _run_single(
@@ -408,7 +357,7 @@
             return statements.CallerAnswer(refusal=admitted.failure())
         operation = admitted.unwrap()
         answer = await self._try_targets(operation, statement, received_at)
-        if answer.refusal is not None and answer.refusal.code in statements.NOT_RUN:
+        if answer.refusal is not None and answer.refusal.step in _STEPS_NOT_RUN:
             self._host.give_back(operation)
         return answer
 
@@ -427,7 +376,13 @@
             if isinstance(placed, result.Failure):
                 return refused or statements.CallerAnswer(refusal=placed.failure())
             placement = placed.unwrap()
-            refused, retry = await self._try_single(operation, placement, statement, received_at)
+            attempt = Attempt(
+                operation=operation,
+                placement=placement,
+                statement=statement,
+                received_at=received_at,
+            )
+            refused, retry = await self._try_single(attempt)
             if not retry:
                 break
             tried.add(placement.target)
@@ -437,65 +392,58 @@
 
     async def _try_single(
         self,
-        operation: execution.Operation,
-        placement: execution.Placement,
-        statement: statements.Statement,
-        received_at: float,
+        attempt: Attempt,
     ) -> tuple[statements.CallerAnswer, bool]:
         """Run a single statement once; return its answer, and whether to try again."""
+        statement, placement = attempt.statement, attempt.placement
         writes = self._writes(statement)
-        text = self._text(statement, placement)
-        answer = await self._run_on(operation, placement, statement, text, received_at, writes)
+        try:
+            answer = await self._run_on(attempt, self._text(statement, placement), writes)
+        finally:
+            placement.pool.release(placement.connection)
         if isinstance(answer, statements.TargetAnswer):
             if answer.code == statements.Code.NO_STATEMENT:
                 placement.connection.prepared.clear()
-            placement.pool.release(placement.connection)
-            return self._judge_single(answer, operation, placement, statement, received_at)
-        placement.pool.release(placement.connection)
-        refused = self._broken(answer, operation, placement, statement, received_at)
+            return self._judge_single(answer, attempt)
+        refused = self._broken(answer, attempt)
         return refused, not writes and answer.code != statements.Code.TIMEOUT
 
     def _judge_single(
         self,
         answer: statements.TargetAnswer,
-        operation: execution.Operation,
-        placement: execution.Placement,
-        statement: statements.Statement,
-        received_at: float,
+        attempt: Attempt,
     ) -> tuple[statements.CallerAnswer, bool]:
         """Return what a target's answer means for the caller, and whether to try again."""
-        writes = self._writes(statement)
+        writes = self._writes(attempt.statement)
         if answer.code:
-            refused = self._target_error(answer, operation, placement, statement, received_at)
+            refused = self._target_error(answer, attempt)
             failed_read = not writes and answer.code == statements.Code.FAILED
             return refused, failed_read or answer.code in statements.NOT_RUN
         if writes:
-            return self._acknowledge(answer, operation, placement, statement, received_at), False
-        seconds = self._host.clock() - placement.checked_at
-        self._host.executor.note_read(placement, seconds)
-        self._log(operation, placement, statement, "ok", received_at)
+            return self._acknowledge(answer, attempt), False
+        seconds = self._host.clock() - attempt.placement.checked_at
+        self._host.executor.note_read(attempt.placement, seconds)
+        self._log(attempt, "ok")
         served = statements.CallerAnswer(rows=answer.rows, signature=answer.signature)
         return served, False
 
     async def _run_on(
         self,
-        operation: execution.Operation,
-        placement: execution.Placement,
-        statement: statements.Statement,
+        attempt: Attempt,
         text: str,
-        received_at: float,
         writes: bool,
     ) -> statements.TargetAnswer | errors.TargetError:
         """Run a statement on a connection; an error without an answer is returned."""
         executor = self._host.executor
-        deadline = received_at + operation.database.statement_timeout
+        operation, placement = attempt.operation, attempt.placement
+        deadline = attempt.received_at + operation.database.statement_timeout
         # Reads inside a transaction follow the position that its start required.
         after = placement.after if self._transaction is None else None
         if writes:
             executor.begin_write(operation.database.group)
         try:
             answer = await placement.connection.run(
-                statement.id,
+                attempt.statement.id,
                 text,
                 timeout=max(0.0, deadline - self._host.clock()),
                 after=after,
@@ -512,62 +460,54 @@
     def _acknowledge(
         self,
         answer: statements.TargetAnswer,
-        operation: execution.Operation,
-        placement: execution.Placement,
-        statement: statements.Statement,
-        received_at: float,
+        attempt: Attempt,
     ) -> statements.CallerAnswer:
         """Acknowledge a write, if the target may still have been the primary."""
-        if not self._host.executor.confirmed(placement):
+        if not self._host.executor.confirmed(attempt.placement):
             reason = "the permission to use the primary ended before its answer"
-            self._log(operation, placement, statement, "INDOUBT", received_at, reason)
-            return self._refuse(statements.Code.INDOUBT, reason, "commit", placement.target)
+            self._log(attempt, "INDOUBT", reason)
+            return self._refuse(statements.Code.INDOUBT, reason, "commit", attempt.placement.target)
         self._position = answer.position or self._position
-        self._log(operation, placement, statement, "ok", received_at)
+        self._log(attempt, "ok")
         return statements.CallerAnswer(rows=answer.rows, signature=answer.signature)
 
     def _broken(
         self,
         error: errors.TargetError,
-        operation: execution.Operation,
-        placement: execution.Placement,
-        statement: statements.Statement,
-        received_at: float,
+        attempt: Attempt,
     ) -> statements.CallerAnswer:
         """Return the answer to a statement whose connection broke or gave no answer."""
         if self._transaction is not None:
             # The target rolls back what is open on a closed connection.
             code = statements.Code.ABORTED
-        elif self._writes(statement):
+        elif self._writes(attempt.statement):
             code = statements.Code.INDOUBT
         elif error.code == statements.Code.TIMEOUT:
             code = statements.Code.TIMEOUT
         else:
             code = statements.Code.BUSY
-        self._log(operation, placement, statement, code, received_at, str(error))
+        self._log(attempt, code, str(error))
         return self._refuse(code, str(error), error.step, error.peer)
 
     def _target_error(
         self,
         answer: statements.TargetAnswer,
-        operation: execution.Operation,
-        placement: execution.Placement,
-        statement: statements.Statement,
-        received_at: float,
+        attempt: Attempt,
     ) -> statements.CallerAnswer:
         """Return the answer to a statement that its target refused or failed."""
-        self._log(operation, placement, statement, answer.code, received_at, answer.message)
+        self._log(attempt, answer.code, answer.message)
         known = answer.code in set(statements.Code)
         code = statements.Code(answer.code) if known else statements.Code.FAILED
         if code is statements.Code.NO_STATEMENT:
             code = statements.Code.BUSY
-        retry_after = BUSY_RETRY_AFTER if code in statements.NOT_RUN else None
+        retry_after = identity.BUSY_RETRY_AFTER if code in statements.NOT_RUN else None
+        step = "refused by target" if code in statements.NOT_RUN else "target"
         return statements.CallerAnswer(
-            refusal=refusal(
+            refusal=identity.refusal(
                 code,
                 answer.message,
-                step="target",
-                peer=placement.target,
+                step=step,
+                peer=attempt.placement.target,
                 retry_after=retry_after,
             )
         )
@@ -597,12 +537,12 @@
                 outcome="BUSY",
             )
             return result.Failure(
-                refusal(
+                identity.refusal(
                     statements.Code.BUSY,
                     str(error),
                     step="place",
                     peer=error.peer,
-                    retry_after=BUSY_RETRY_AFTER,
+                    retry_after=identity.BUSY_RETRY_AFTER,
                 )
             )
         return result.Success(placement)
@@ -645,49 +585,43 @@
     def _refuse(
         self, code: statements.Code, message: str, step: str, peer: str = ""
     ) -> statements.CallerAnswer:
-        retry_after = BUSY_RETRY_AFTER if code in statements.NOT_RUN else None
+        retry_after = identity.BUSY_RETRY_AFTER if code in statements.NOT_RUN else None
         return statements.CallerAnswer(
-            refusal=refusal(code, message, step=step, peer=peer, retry_after=retry_after)
+            refusal=identity.refusal(code, message, step=step, peer=peer, retry_after=retry_after)
         )
 
-    def _log(
-        self,
-        operation: execution.Operation,
-        placement: execution.Placement,
-        statement: statements.Statement,
-        outcome: str,
-        received_at: float,
-        reason: str = "",
-    ) -> None:
+    def _log(self, attempt: Attempt, outcome: str, reason: str = "") -> None:
+        operation, placement = attempt.operation, attempt.placement
         now = self._host.clock()
+        seconds = now - attempt.received_at
         served = outcome == "ok"
         logs.log_decision(
             logger,
             "route",
             level=logging.INFO if served else logging.WARNING,
-            request=statement.id,
+            request=attempt.statement.id,
             operation=operation.id,
             account=operation.account,
             database=operation.database.name,
             group=operation.database.group,
-            statement=statement.kind.value,
+            statement=attempt.statement.kind.value,
             target=placement.target,
             primary=placement.primary,
             after=str(placement.after) if placement.after else "",
             choice=placement.reason,
             lease_age=round(now - placement.checked_at, 4),
             record=placement.version,
-            seconds=round(now - received_at, 4),
+            seconds=round(seconds, 4),
             outcome=outcome,
             reason=reason,
         )
         self._host.report(
-            Report(
+            reports.Report(
                 consistency=operation.database.consistency.value,
-                kind=statement.kind.value,
+                kind=attempt.statement.kind.value,
                 code=outcome,
                 step="target",
-                seconds=now - received_at,
+                seconds=seconds,
                 replica=not placement.primary,
             )
         )
@@ -702,130 +636,3 @@
         statements.Kind.COMMIT: _commit,
         statements.Kind.ROLLBACK: _rollback,
     }
-
-
-class SessionHost:
-    """Opens sessions, and admits their operations."""
-
-    def __init__(self, *, app: application.Application) -> None:
-        self._app = app
-        self._configuration = app.part("configuration", "state")
-        self._confirmation = app.part("membership", "confirmation")
-        self._admission = app.selected("admission")
-        self._executor = app.part("pooling", "executor")
-
-    @property
-    def executor(self) -> execution.Executor:
-        """What runs statements."""
-        return self._executor
-
-    @property
-    def idle_transaction_limit(self) -> float:
-        """Seconds after which an idle transaction may be ended."""
-        return self._configuration.current.idle_transaction_limit
-
-    def clock(self) -> float:
-        """Return monotonic seconds."""
-        return self._app.clock()
-
-    def open(self, database: str, key: str) -> result.Result[Session, errors.Refusal]:
-        """Open a session, or say why not."""
-        configuration = self._configuration.current
-        identity = Identity(database=database, digest=keys.digest(key) if key else "")
-        if not configuration.version:
-            refused = refusal(
-                statements.Code.BUSY,
-                "no configuration yet",
-                step="open",
-                retry_after=BUSY_RETRY_AFTER,
-            )
-            return result.Failure(refused)
-        authorized = authorize(configuration, identity)
-        if isinstance(authorized, result.Failure):
-            self._log_refused("open-session", "", identity, authorized.failure())
-            return authorized
-        return result.Success(Session(host=self, identity=identity))
-
-    async def admit(
-        self, identity: Identity, request: str, received_at: float
-    ) -> result.Result[tuple[model.Database, str], errors.Refusal]:
-        """Check key, confirmation and rate of an operation by the newest configuration."""
-        configuration = self._configuration.current
-        authorized = authorize(configuration, identity)
-        if isinstance(authorized, result.Failure):
-            self._log_refused("authorize", request, identity, authorized.failure())
-            return authorized
-        database, account = authorized.unwrap()
-        if account == OPEN_ACCOUNT:
-            return authorized
-        if self._app.clock() >= self._confirmation.valid_until(self._app.clock()):
-            refused = refusal(
-                statements.Code.BUSY,
-                "keys are not confirmed",
-                step="confirm",
-                retry_after=1.0,
-            )
-            self._log_refused("confirm", request, identity, refused)
-            return result.Failure(refused)
-        limits = configuration.accounts_by_name[account]
-        deadline = received_at + database.latency_goal
-        decided = await self._admission.admit(limits, deadline)
-        if decided.admitted:
-            return authorized
-        refused = refusal(
-            statements.Code.BUSY,
-            "the account is above its rate",
-            step="admit",
-            retry_after=decided.retry_after,
-        )
-        self._log_refused("admit", request, identity, refused, account, decided.reason)
-        return result.Failure(refused)
-
-    def give_back(self, operation: execution.Operation) -> None:
-        """Give back what the admission of an operation cost that no target ran."""
-        if operation.account != OPEN_ACCOUNT:
-            self._admission.give_back(operation.account)
-
-    def report(self, report: Report) -> None:
-        """Tell the metrics how a statement ended."""
-        self._app.events.emit("statement-ended", report)
-
-    def _log_refused(
-        self,
-        step: str,
-        request: str,
-        identity: Identity,
-        refused: errors.Refusal,
-        account: str = "",
-        reason: str = "",
-    ) -> None:
-        now = self._app.clock()
-        logs.log_decision(
-            logger,
-            step,
-            level=logging.WARNING,
-            request=request,
-            account=account,
-            database=identity.database,
-            key=identity.digest[:8],
-            configuration=self._configuration.version,
-            configuration_age=round(now - self._confirmation.confirmed_at(now), 3),
-            outcome=refused.code,
-            reason=reason or refused.message,
-        )
-        self.report(
-            Report(
-                consistency="",
-                kind="",
-                code=refused.code,
-                step=refused.step,
-                seconds=0.0,
-                replica=False,
-            )
-        )
-
-
-def setup(app: application.Application) -> None:
-    """Register the sessions."""
-    app.add_event("statement-ended")
-    app.add_part("pooling", "sessions", lambda app: SessionHost(app=app))
--- a/src/greengageshunt/programs/entry.py
+++ b/src/greengageshunt/programs/entry.py
@@ -40,7 +40,7 @@
     "greengageshunt.coordination.isolation",
     "greengageshunt.pooling.freshness",
     "greengageshunt.pooling.execution",
-    "greengageshunt.pooling.session",
+    "greengageshunt.pooling.host",
     "greengageshunt.coordination.promotion",
     "greengageshunt.frontends.readiness",
     "greengageshunt.platform.frontend",
