--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from greengageshunt import application, codec, errors, logs, model
-from greengageshunt.coordination import lease, records, view
+from greengageshunt.coordination import detection, lease, records, view
 from greengageshunt.membership import ownership
 from greengageshunt.pooling import execution, pools
 from greengageshunt.stores import rows
@@ -21,28 +21,10 @@
 
 CHECK_INTERVAL = 0.2  # seconds
 
-# Seconds for which this entry VM must have failed to reach a primary before it asks others.
-SUSPICION = 0.4
-
-# Seconds without an answer after which a primary is tried for its own sake.
-QUIET_LIMIT = 1.5
-
-PROBE_TIMEOUT = 0.4  # seconds
-REACH_TIMEOUT = 0.6  # seconds
 RECALL_TIMEOUT = 0.5  # seconds
 RECALL_INTERVAL = 0.2  # seconds between requests to entry VMs that did not answer
 STATUS_TIMEOUT = 0.4  # seconds
 
-# Seconds for which a primary must be out of reach while entry VMs are, too. A change must then
-# wait for the end of their permissions, which takes longer than most partitions last.
-SUSPICION_DURING_PARTITION = 6.0
-
-# One part in so many of the entry VMs may be dead without the others being partitioned.
-FEW_PART = 8
-
-# Part of the entry VMs that must not reach a primary before it is replaced.
-UNREACHED_SHARE = 0.4
-
 # Seconds for which a replaced primary's last commits may take to reach a replica.
 CATCH_UP_LIMIT = 1.0
 
@@ -82,22 +64,6 @@
     return max(fit, key=lambda item: (item.position or zero, item.entry.target), default=None)
 
 
-def should_replace(*, unreached: int, asked: int, registered: int, failing_for: float) -> bool:
-    """Return whether a primary is out of reach of so many entry VMs that it is replaced.
-
-    Args:
-        unreached: Entry VMs, the own one included, that do not reach it.
-        asked: Entry VMs that answered, the own one included.
-        registered: Entry VMs whose permissions count.
-        failing_for: Seconds for which this entry VM has not reached it.
-    """
-    dead = registered - asked
-    few = dead <= max(1, registered // FEW_PART)
-    patience = SUSPICION if few else SUSPICION_DURING_PARTITION
-    enough = unreached >= min(asked, max(2, UNREACHED_SHARE * asked))
-    return enough and failing_for >= patience
-
-
 class Promoter:
     """Watches the primaries of the groups that fall to this entry VM."""
 
@@ -112,13 +78,12 @@
         self._links = app.part("peers", "links")
         self._pools: pools.TargetPools = app.part("pooling", "pools")
         self._executor: execution.Executor = app.part("pooling", "executor")
+        self._detector: detection.Detector = app.part("coordination", "detector")
         self._configuration = app.part("configuration", "state")
         self._changing_since: dict[str, tuple[int, float]] = {}
-        self._failing_since: dict[str, float] = {}
         self._not_before: dict[str, float] = {}
         server = app.part("peers", "server")
         server.add_handler(records.LeaseRecall, self._answer_recall)
-        server.add_handler(records.ReachRequest, self._answer_reach)
 
     async def run(self) -> None:
         """Watch the groups until cancelled, one task for each."""
@@ -172,7 +137,7 @@
         entry = self._view.target(record.primary)
         if entry is not None and entry.draining:
             await self._change(record, "the primary drains")
-        elif entries and await self._is_lost(record, entry):
+        elif entries and await self._detector.is_lost(record, entry):
             await self._change(record, "the primary is not reached")
 
     def _patience(self, record: records.LeadRecord, now: float) -> float:
@@ -199,58 +164,6 @@
         )
         await self._write(record, None)
 
-    async def _is_lost(self, record: records.LeadRecord, entry: records.TargetEntry | None) -> bool:
-        """Return whether so many entry VMs do not reach a primary that it is replaced.
-
-        Args:
-            record: Record of the group.
-            entry: Entry of the primary, or None while it is not listed.
-        """
-        name = record.primary
-        now = self._app.clock()
-        if entry is not None and await self._seems_well(entry, now):
-            self._failing_since.pop(name, None)
-            return False
-        since = self._failing_since.setdefault(name, now)
-        failing_for = self._app.clock() - since
-        if failing_for < SUSPICION:
-            return False
-        request = records.ReachRequest(target=name)
-        peers = [
-            member.vm for member in self._members.live(now) if member.vm != self._members.me.vm
-        ]
-        answers = await asyncio.gather(*(self._ask(vm, request, REACH_TIMEOUT) for vm in peers))
-        known = [answer for answer in answers if answer is not None]
-        unreached = 1 + sum(not answer.reached for answer in known)
-        registered = sum(not entry.stopped for entry in self._view.members.values())
-        lost = should_replace(
-            unreached=unreached,
-            asked=1 + len(known),
-            registered=registered,
-            failing_for=failing_for,
-        )
-        logs.log_decision(
-            logger,
-            "suspect-primary",
-            group=record.group,
-            target=name,
-            unreached=unreached,
-            asked=1 + len(known),
-            registered=registered,
-            failing_for=round(failing_for, 3),
-            outcome="replace" if lost else "keep",
-        )
-        if not lost:
-            self._not_before[record.group] = self._app.clock() + PAUSE
-        return lost
-
-    async def _seems_well(self, entry: records.TargetEntry, now: float) -> bool:
-        target_pool = self._pools.pool(entry)
-        quiet = now - target_pool.answered_at > QUIET_LIMIT
-        if not target_pool.failures and not quiet:
-            return True
-        return await self._reaches(entry)
-
     async def _change(self, record: records.LeadRecord, reason: str) -> None:
         """Replace the primary of a group.
 
@@ -474,20 +387,7 @@
     async def _connect(self, entry: records.TargetEntry) -> Any:
         # The system's own connection comes from the share of this entry VM.
         self._pools.pool(entry).close_idle()
-        return await self._driver.connect(entry, "-", PROBE_TIMEOUT)
-
-    async def _reaches(self, entry: records.TargetEntry) -> bool:
-        """Return whether a target accepts a connection, or refuses one with a code."""
-        target_pool = self._pools.pool(entry)
-        try:
-            connection = await self._driver.connect(entry, "-", PROBE_TIMEOUT)
-        except errors.TargetError as error:
-            if not error.code:
-                return False
-        else:
-            connection.close()
-        target_pool.note_answer(self._app.clock())
-        return True
+        return await self._driver.connect(entry, "-", detection.PROBE_TIMEOUT)
 
     async def _tell(self, row: records.ControlRow) -> None:
         request = records.LeaseRecall(row=row)
@@ -511,18 +411,6 @@
         me = self._registry.me
         return records.LeaseRecalled(vm=me.vm, incarnation=me.incarnation)
 
-    async def _answer_reach(
-        self, message: records.ReachRequest, received_at: float
-    ) -> records.ReachAnswer:
-        entry = self._view.target(message.target)
-        reached = False
-        if entry is not None:
-            target_pool = self._pools.pool(entry)
-            recent = received_at - target_pool.answered_at < SUSPICION
-            fresh = recent and not target_pool.failures
-            reached = fresh or await self._reaches(entry)
-        return records.ReachAnswer(vm=self._members.me.vm, reached=reached)
-
 
 def setup(app: application.Application) -> None:
     """Register the changes of primaries."""
--- a/src/greengageshunt/programs/entry.py
+++ b/src/greengageshunt/programs/entry.py
@@ -41,6 +41,7 @@
     "greengageshunt.pooling.freshness",
     "greengageshunt.pooling.execution",
     "greengageshunt.pooling.host",
+    "greengageshunt.coordination.detection",
     "greengageshunt.coordination.promotion",
     "greengageshunt.frontends.readiness",
     "greengageshunt.platform.frontend",
--- a/tests/test_coordination/test_promotion.py
+++ b/tests/test_coordination/test_promotion.py
@@ -1,7 +1,7 @@
 """Decisions of a change of primary."""
 
 from greengageshunt import model
-from greengageshunt.coordination import promotion, records
+from greengageshunt.coordination import detection, promotion, records
 
 
 def _status(name: str, offset: int, *, term: int = 1, draining: bool = False) -> promotion.Status:
@@ -37,7 +37,7 @@
 
 def _replace(**fields):
     given = {"unreached": 4, "asked": 8, "registered": 8, "failing_for": 1.0, **fields}
-    return promotion.should_replace(**given)
+    return detection.should_replace(**given)
 
 
 def test_one_entry_vm_alone_does_not_replace_a_primary():
