Drop a change of primary whose record changed meanwhile, and follow the leader of the newest term

Found by reading: between the questions to peers and the write, another entry VM may have changed the record; the write would then have passed under the newer version with a token already used. The test fails on the code before.

--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -64,6 +64,12 @@
     return max(fit, key=lambda item: (item.position or zero, item.entry.target), default=None)
 
 
+def newest_leader(statuses: tuple[Status, ...]) -> Status | None:
+    """Return the target that leads; of several that believe so, the one of the newest term."""
+    leaders = [item for item in statuses if item.primary]
+    return max(leaders, key=lambda item: item.term, default=None)
+
+
 class Promoter:
     """Watches the primaries of the groups that fall to this entry VM."""
 
@@ -172,7 +178,9 @@
         """
         group = record.group
         row = self._view.row(view.GROUP_PREFIX + group)
-        if row is None:
+        if row is None or self._view.lead(group) != record:
+            # Another entry VM changed the record while this one asked; the newer version
+            # would let a write pass that takes its token a second time.
             return
         self._not_before[group] = self._app.clock() + PAUSE
         intent = dataclasses.replace(
@@ -305,21 +313,18 @@
     async def _prepare(self, record: records.LeadRecord) -> Status | None:
         """Make the old primary step down if it answers, and return who takes over."""
         statuses = await self._statuses(record.group)
-        old = next((item for item in statuses if item.entry.target == record.primary), None)
-        back = old is not None and old.primary and not old.entry.draining
-        if back or choose_successor(statuses, record.primary) is None:
+        leader = newest_leader(statuses)
+        if leader is not None and leader.entry.target != record.primary:
+            # An order of before was carried out.
+            return leader
+        if leader is None:
+            return choose_successor(statuses, record.primary)
+        if not leader.entry.draining or choose_successor(statuses, record.primary) is None:
             # It was out of reach and has not lost the lead; ordering it again fences off
             # what may still be on its way.
-            return old if old is not None and old.primary else None
-        if old is not None and old.primary:
-            await self._step_down(old)
-            statuses = await self._await_catch_up(record.group, old)
-        leaders = [
-            item for item in statuses if item.primary and item.entry.target != record.primary
-        ]
-        if leaders:
-            return leaders[0]
-        return choose_successor(statuses, record.primary)
+            return leader
+        await self._step_down(leader)
+        return choose_successor(await self._await_catch_up(record.group, leader), record.primary)
 
     async def _step_down(self, old: Status) -> None:
         try:
--- a/tests/test_coordination/test_promotion.py
+++ b/tests/test_coordination/test_promotion.py
@@ -1,7 +1,10 @@
 """Decisions of a change of primary."""
 
-from greengageshunt import model
-from greengageshunt.coordination import detection, promotion, records
+import dataclasses
+import json
+
+from greengageshunt import application, config, model
+from greengageshunt.coordination import detection, promotion, records, view
 
 
 def _status(name: str, offset: int, *, term: int = 1, draining: bool = False) -> promotion.Status:
@@ -62,3 +65,63 @@
     assert not _replace(unreached=6, asked=6, failing_for=5.0)
     assert not _replace(unreached=2, asked=2, failing_for=5.0)
     assert _replace(unreached=6, asked=6, failing_for=6.0)
+
+
+def test_target_of_the_newest_term_leads():
+    """Guards against an old primary behind a cut that is taken for the leader."""
+    old = dataclasses.replace(_status("t-1", 9, term=1), primary=True)
+    new = dataclasses.replace(_status("t-2", 5, term=2), primary=True)
+    assert promotion.newest_leader((old, new, _status("t-3", 4))) is new
+    assert promotion.newest_leader((_status("t-3", 4),)) is None
+
+
+class _Store:
+    """Counts writes."""
+
+    def __init__(self) -> None:
+        self.writes = 0
+
+    async def put_row(self, key: str, value: object, etag: str | None) -> None:
+        self.writes += 1
+
+
+class _Part:
+    """Stands for parts that the test does not reach."""
+
+    def __getattr__(self, name: str) -> object:
+        return self
+
+    def __call__(self, *args: object, **fields: object) -> object:
+        return self
+
+
+async def test_change_is_dropped_if_the_record_changed_meanwhile():
+    """Guards against a second change with the token of the first."""
+    app = application.Application(name="vm-1")
+    view.setup(app)
+    store = _Store()
+    app.add_part("platform", "fake", lambda app: store)
+    names = [
+        ("driver", "fake"),
+        ("duty", "failover"),
+        ("membership", "view"),
+        ("coordination", "members"),
+        ("coordination", "detector"),
+        ("peers", "links"),
+        ("peers", "server"),
+        ("pooling", "pools"),
+        ("pooling", "executor"),
+        ("configuration", "state"),
+    ]
+    for role, name in names:
+        app.add_part(role, name, lambda app: _Part())
+    values = {"parts.platform": "fake", "parts.driver": "fake"}
+    app.configure(config.Settings(values=values, source="test"))
+    promoter = promotion.Promoter(app=app)
+    before = records.LeadRecord(group="g", primary="t-1", token=3, holder="vm-2", changing=False)
+    after = dataclasses.replace(before, primary="t-2", token=4)
+    copied = app.part("coordination", "view")
+    value = json.dumps(dataclasses.asdict(after))
+    copied.note_row(records.ControlRow(key="groups/g", version=9, value=value))
+    await promoter._change(before, "the primary is not reached")
+    assert store.writes == 0
