--- a/src/greengageshunt/peers/link.py
+++ b/src/greengageshunt/peers/link.py
@@ -31,10 +31,12 @@
         peer: model.Member,
         heartbeat: abc.Callable[[], messages.Heartbeat],
         received: abc.Callable[[messages.HeartbeatAck, float], None],
+        interval: float = HEARTBEAT_INTERVAL,
+        silence: float = SILENCE_DEADLINE,
     ) -> None:
         self._app = app
-        self._interval = app.settings["peers.heartbeat"]
-        self._silence = app.settings["peers.silence"]
+        self._interval = interval
+        self._silence = silence
         self._peer = peer
         self._heartbeat = heartbeat
         self._received = received
--- a/src/greengageshunt/peers/links.py
+++ b/src/greengageshunt/peers/links.py
@@ -104,7 +104,12 @@
         for vm, peer in peers.items():
             if vm not in self._links:
                 self._links[vm] = link.PeerLink(
-                    app=self._app, peer=peer, heartbeat=self._heartbeat, received=self._received
+                    app=self._app,
+                    peer=peer,
+                    heartbeat=self._heartbeat,
+                    received=self._received,
+                    interval=self._app.settings["peers.heartbeat"],
+                    silence=self._app.settings["peers.silence"],
                 )
                 self._tasks[vm] = asyncio.create_task(self._links[vm].run(), name=f"peer {vm}")
 
