Let tests wait for the log line of their own request

Cause: a process writes its log lines every 0.1 s, so a test that reads the file right after an answer may see only the lines before it. Now each test waits, at most 5 s, for the line of its own request id, which is stricter than the last line of any request.

--- a/tests/support/placement.py
+++ b/tests/support/placement.py
@@ -1,6 +1,7 @@
 """Where a fleet places the work of its first group."""
 
 import asyncio
+import uuid
 
 from greengageshunt.membership import ownership
 from greengageshunt.standins import fleet as fleet_module
@@ -34,7 +35,8 @@
 async def _owner(
     fleet: fleet_module.Fleet, caller: callers.Caller, vm: layout.EntryVm, route: str
 ) -> str:
-    reply = await caller.call(vm.http_address, route)
-    lines = database.log_lines(fleet, vm.member.vm)
-    owners = [line["owner"] for line in lines if line.get("decision") == "route"]
-    return owners[-1] if owners and reply.status == 200 else ""
+    request = f"placement-{uuid.uuid4().hex}"
+    reply = await caller.call(vm.http_address, route, request_id=request)
+    if reply.status != 200:
+        return ""
+    return (await database.route_line(fleet, vm.member.vm, request))["owner"]
--- a/tests/test_path/test_thin_path.py
+++ b/tests/test_path/test_thin_path.py
@@ -1,20 +1,14 @@
 """One request from a caller through real processes to a target and back."""
 
 import asyncio
-import json
 
 from greengageshunt.standins import fleet as fleet_module
-from support import callers, configurations
+from support import callers, configurations, database
 
 SETTLE = 0.05  # seconds between tries
 DEADLINE = 10.0  # seconds
 
 
-def _log_lines(fleet: fleet_module.Fleet, name: str) -> list[dict]:
-    text = fleet.log_path(name).read_text()
-    return [json.loads(line) for line in text.splitlines()]
-
-
 async def _statements(fleet: fleet_module.Fleet) -> list[str]:
     seen = []
     for target in fleet.layout.control_addresses:
@@ -77,9 +71,7 @@
 
     await caller.call(vm.http_address, "booking.place", request_id="request-7", item="pot")
 
-    lines = _log_lines(fleet, vm.member.vm)
-    routed = [line for line in lines if line.get("decision") == "route"]
-    line = [line for line in routed if line["request_id"] == "request-7"][-1]
+    line = await database.route_line(fleet, vm.member.vm, "request-7")
     assert line["account"] == "account-1"
     assert line["group"] == configurations.GROUP
     assert line["target"] == fleet.layout.groups[0].primary
--- a/tests/test_stop/test_graceful_stop.py
+++ b/tests/test_stop/test_graceful_stop.py
@@ -110,10 +110,9 @@
     # Peers are told first, so new transactions go to the next owner at once.
     await asyncio.sleep(1.5)
     assert process.poll() is None
-    await caller.call(entry.http_address, "booking.list")
-    lines = database.log_lines(fleet, entry.member.vm)
-    owners = [line["owner"] for line in lines if line.get("decision") == "route"]
-    assert owners[-1] != owner.member.vm
+    await caller.call(entry.http_address, "booking.list", request_id="after-stop")
+    line = await database.route_line(fleet, entry.member.vm, "after-stop")
+    assert line["owner"] != owner.member.vm
     placed = await caller.call(
         entry.http_address, "booking.place", transaction=transaction, item="after"
     )
