Keep links to a few hubs where entry VMs are many, and share scarce connections

Cause: each entry VM kept a link to every other one and watched the store itself, and a limit of connections below the number of entry VMs was divided into parts of one, so that 59 entry VMs opened up to 59 connections where 32 are allowed.

Change: above 16 entry VMs, two hubs in each failure domain keep links to each other; the others keep links to the hubs of their domain and to two outside, and learn the control table and the target list from them. Hubs watch primaries and silent entry VMs. Links to others open on demand. One hub of each domain holds a part of each limit; there is no reserve, since even parts would be below a token. Connections that are fewer than two for each entry VM are opened on demand and closed after 0.3 s without use.

--- a/src/greengageshunt/admission/granted.py
+++ b/src/greengageshunt/admission/granted.py
@@ -2,8 +2,10 @@
 
 A fixed part of each limit is divided evenly among the registered entry VMs. The rest is
 divided among a few holders, which rendezvous hashing of the account names; an entry VM that
-runs short asks them for tokens. Both parts follow from the registered names alone, so the sum
-never exceeds the limit, whoever is cut off, and a restarted process serves at once.
+runs short asks them for tokens. Where entry VMs are so many that an even part would be less
+than a token, there is no reserve, and one hub of each failure domain holds a part. Both parts
+follow from the registered names alone, so the sum never exceeds the limit, whoever is cut
+off, and a restarted process serves at once.
 ``docs/decisions/0012-grants.md`` contains the argument.
 """
 
@@ -17,7 +19,7 @@
 from greengageshunt import application, errors, logs, model
 from greengageshunt.admission import allowance, bucket, decision
 from greengageshunt.coordination import lease, records, view
-from greengageshunt.membership import ownership
+from greengageshunt.membership import ownership, topology
 from greengageshunt.peers import messages
 
 logger = logging.getLogger(__name__)
@@ -88,21 +90,38 @@
 
     Attributes:
         names: Names of entry VMs, sorted.
+        hubs: Hubs by failure domain, or empty if each entry VM may be a holder.
         seen_at: Monotonic seconds; negative infinity for those found at the start.
         version: Version of the store that held them.
-        shrunk: Whether a name is missing that was registered before.
+        shrunk: Whether a possible holder of before is none any more.
     """
 
     names: tuple[str, ...]
     seen_at: float
     version: int
     shrunk: bool = False
+    hubs: tuple[tuple[str, ...], ...] = ()
 
+    @property
+    def granting(self) -> frozenset[str]:
+        """Names that may be holders."""
+        return frozenset(itertools.chain.from_iterable(self.hubs or (self.names,)))
 
-def holders_of(account: str, names: abc.Sequence[str]) -> tuple[str, ...]:
+
+def holders_of(account: str, known: Names) -> tuple[str, ...]:
     """Return the holders of an account among registered names."""
-    ranked = sorted(names, key=lambda name: ownership.score(account, name), reverse=True)
-    return tuple(ranked[:HOLDERS])
+
+    def rank(names: abc.Iterable[str]) -> list[str]:
+        return sorted(names, key=lambda name: ownership.score(account, name), reverse=True)
+
+    if known.hubs:
+        return tuple(rank(local)[0] for local in known.hubs)
+    return tuple(rank(known.names)[:HOLDERS])
+
+
+def reserve_part(known: Names) -> float:
+    """Return the part of a limit that all entry VMs divide among themselves."""
+    return 0.0 if known.hubs else RESERVE
 
 
 def may_grant(
@@ -118,9 +137,9 @@
         now: Monotonic seconds.
     """
     for item in known:
-        if vm not in holders_of(account, item.names):
+        if vm not in holders_of(account, item):
             return False
-        # Who is no longer registered may not know it, and may still grant.
+        # Who is no possible holder any more may not know it, and may still grant.
         all_know = item.version <= common_version and not item.shrunk
         if all_know or now - item.seen_at >= HANDOVER:
             return True
@@ -260,11 +279,8 @@
     async def _ask_round(self, account: str) -> bool:
         now = self._app.clock()
         wanted = max(1.0, math.ceil(self._demands[account].rate(now) * LOOK_AHEAD))
-        names = self._known[0].names if self._known else ()
-        holders = holders_of(account, names)
-        turn = next(self._turns)
         reasons = []
-        for holder in (*holders[turn % HOLDERS :], *holders[: turn % HOLDERS]):
+        for holder in self._ask_order(account):
             now = self._app.clock()
             if now < self._empty_until.get((account, holder), now):
                 reasons.append(f"{holder} was empty")
@@ -278,6 +294,25 @@
         self._reasons[account] = ", ".join(reasons)
         return False
 
+    def _ask_order(self, account: str) -> tuple[str, ...]:
+        """Return the holders in the order in which they are asked; each is first in turn.
+
+        Where each failure domain has one, the own one goes first.
+        """
+        if not self._known:
+            return ()
+        holders = holders_of(account, self._known[0])
+        turn = next(self._turns) % len(holders)
+        ordered = (*holders[turn:], *holders[:turn])
+        if not self._known[0].hubs:
+            return ordered
+        domain = self._members.me.failure_domain
+        return tuple(sorted(ordered, key=lambda vm: self._domain_of(vm) != domain))
+
+    def _domain_of(self, vm: str) -> str:
+        member = self._members.member(vm)
+        return member.failure_domain if member else ""
+
     async def _request(self, account: str, holder: str, wanted: float) -> Grant:
         request = GrantRequest(account=account, tokens=wanted)
         if holder == self._members.me.vm:
@@ -300,25 +335,28 @@
             return Grant(tokens=0.0, reason="the registered names are not confirmed")
         if not may_grant(request.account, me, self._known, self._common_version(), now):
             return Grant(tokens=0.0, reason="not a holder")
-        part = (1.0 - RESERVE) / len(holders_of(request.account, self._known[0].names))
+        newest = self._known[0]
+        part = (1.0 - reserve_part(newest)) / len(holders_of(request.account, newest))
         held = self._sized(self._held.get(request.account), account, part, now)
         tokens = granted(request.tokens, held.tokens)
         self._held[request.account] = dataclasses.replace(held, tokens=held.tokens - tokens)
         return Grant(tokens=tokens, reason="granted" if tokens else "no tokens left")
 
     def _common_version(self) -> int:
-        """Return the version of the control table that all registered entry VMs have seen."""
+        """Return the version of the control table that all possible holders have seen."""
         me = self._members.me.vm
         own = self._view.copy(records.Section.CONTROL).version
         seen = self._watch.reported_versions
-        names = self._known[0].names if self._known else ()
+        names = self._known[0].granting if self._known else ()
         return min((seen.get(vm, 0) for vm in names if vm != me), default=own)
 
     def _reserve(self, account: str, now: float) -> bucket.Bucket | None:
         limits = self._accounts.get(account)
         if limits is None or not self._known:
             return None
-        part = RESERVE / len(self._known[0].names)
+        part = reserve_part(self._known[0]) / len(self._known[0].names)
+        if not part:
+            return None
         return self._sized(self._reserves.get(account), limits, part, now)
 
     def _sized(
@@ -355,16 +393,20 @@
         recent = [item for item in self._known if now - item.seen_at < HANDOVER]
         # The first one that is older than the handover was in force during all of it.
         older = self._known[len(recent) : len(recent) + 1]
-        before = self._known[0].names if self._known else ()
-        newest = Names(
-            names=names,
-            seen_at=seen_at,
-            version=version,
-            shrunk=not set(before) <= set(names),
-        )
+        newest = Names(names=names, hubs=self._hubs(names), seen_at=seen_at, version=version)
+        if self._known and not self._known[0].granting <= newest.granting:
+            newest = dataclasses.replace(newest, shrunk=True)
         self._known = (newest, *recent, *older)
         logs.log_decision(logger, "adopt-holders", names=names, version=version)
 
+    def _hubs(self, names: abc.Iterable[str]) -> tuple[tuple[str, ...], ...]:
+        members = tuple(view.member_of(self._view.members[vm]) for vm in names)
+        hubs = topology.hubs(members)
+        if len(hubs) == len(members):
+            return ()
+        local = topology.by_domain(hubs)
+        return tuple(tuple(sorted(hub.vm for hub in local[name])) for name in sorted(local))
+
     def _adopt(self, configuration: model.Configuration) -> None:
         settings = self._app.settings
         widened = allowance.widen(
--- a/src/greengageshunt/coordination/detection.py
+++ b/src/greengageshunt/coordination/detection.py
@@ -34,9 +34,9 @@
     """Return whether a primary is out of reach of so many entry VMs that it is replaced.
 
     Args:
-        unreached: Entry VMs, the own one included, that do not reach it.
-        asked: Entry VMs that answered, the own one included.
-        registered: Entry VMs whose permissions count.
+        unreached: Hubs, the own entry VM included, that do not reach it.
+        asked: Hubs that answered, the own entry VM included.
+        registered: Registered hubs, whether they answer or not.
         failing_for: Seconds for which this entry VM has not reached it.
     """
     dead = registered - asked
@@ -84,12 +84,13 @@
         self._asked_at[name] = now
         request = records.ReachRequest(target=name)
         peers = [
-            member.vm for member in self._members.live(now) if member.vm != self._members.me.vm
+            member.vm for member in self._members.live_hubs(now) if member.vm != self._members.me.vm
         ]
         answers = await asyncio.gather(*(self._ask(vm, request) for vm in peers))
         known = [answer for answer in answers if answer is not None]
         unreached = 1 + sum(not answer.reached for answer in known)
-        registered = sum(not entry.stopped for entry in self._view.members.values())
+        hubs = (self._view.members.get(hub.vm) for hub in self._members.hubs)
+        registered = sum(hub is not None and not hub.stopped for hub in hubs)
         lost = should_replace(
             unreached=unreached,
             asked=1 + len(known),
--- a/src/greengageshunt/coordination/isolation.py
+++ b/src/greengageshunt/coordination/isolation.py
@@ -13,7 +13,7 @@
 SILENCE = 1.1
 
 
-def decide(*, peers_at: float, targets_at: float, now: float) -> bool:
+def decide(*, peers_at: float, targets_at: float, now: float, pace: float = 1.0) -> bool:
     """Return whether an entry VM is cut off.
 
     Args:
@@ -21,11 +21,12 @@
             failure domain; infinite if there is none.
         targets_at: The same for targets.
         now: Monotonic seconds.
+        pace: Factor by which heartbeats are slower.
     """
     if peers_at == math.inf:
         return False
     newest = peers_at if targets_at == math.inf else max(peers_at, targets_at)
-    return now - newest > SILENCE
+    return now - newest > SILENCE * pace
 
 
 class Isolation:
@@ -41,14 +42,19 @@
     def isolated_for(self, now: float) -> float:
         """Return the seconds for which this entry VM has been cut off; 0 if it is not."""
         domain = self._members.me.failure_domain
-        remote = [peer.vm for peer in self._members.peers if peer.failure_domain != domain]
+        remote = [peer.vm for peer in self._members.neighbours if peer.failure_domain != domain]
         answered = [self._members.answered_at(vm) for vm in remote]
         served = [
             pool.answered_at for pool in self._pools.all if pool.entry.failure_domain != domain
         ]
         peers_at = max(answered, default=math.inf)
         targets_at = max(served, default=math.inf)
-        cut = decide(peers_at=max(peers_at, self._started_at), targets_at=targets_at, now=now)
+        cut = decide(
+            peers_at=max(peers_at, self._started_at),
+            targets_at=targets_at,
+            now=now,
+            pace=max(map(self._members.pace, remote), default=1.0),
+        )
         if cut != (self._since is not None):
             self._since = now if cut else None
             logs.log_decision(
--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -36,7 +36,7 @@
         self._store = app.selected("platform")
         self._view: view.StoreView = app.part("coordination", "view")
         self._members = app.part("membership", "view")
-        self._started_at = app.clock()
+        self._watched_since: dict[str, float] = {}
         self._heard_at: dict[str, float] = {}
         self._removed_at: dict[str, float] = {}
         me: model.Member = self._members.me
@@ -131,27 +131,43 @@
     async def _remove_gone(self, now: float) -> None:
         """Mark silent entry VMs as removed, and delete marked rows later.
 
-        One entry VM does so. A marked row stays for as long as a permission to use a
-        primary can last, so that a change of primary still waits for its process.
+        A marked row stays for as long as a permission to use a primary can last, so
+        that a change of primary still waits for its process.
         """
-        ranked = ownership.rank("members", self._members.live(now))
-        if not ranked or ranked[0].vm != self._me.vm:
-            self._removed_at.clear()
-            return
         for vm, entry in tuple(self._view.members.items()):
-            if vm == self._me.vm:
-                continue
-            if entry.removed:
+            if vm == self._me.vm or not self._watches(entry, now):
+                self._removed_at.pop(vm, None)
+                self._watched_since.pop(vm, None)
+            elif entry.removed:
                 since = self._removed_at.setdefault(vm, now)
                 if now - since > lease.LEASE + lease.DRIFT:
                     await self._delete(vm)
             elif self._silent(vm, now):
                 await self._mark(entry)
 
+    def _watches(self, entry: records.MemberEntry, now: float) -> bool:
+        """Return whether this entry VM removes another one if that is silent.
+
+        One hub does so: of the other one's failure domain, whose hubs it sends
+        heartbeats to, or any if no hub there answers. Without hubs that answer, their
+        neighbours remove them.
+        """
+        live = self._members.live_hubs(now)
+        if not live:
+            return entry.vm in {neighbour.vm for neighbour in self._members.neighbours}
+        if not self._members.is_hub:
+            return False
+        local = [hub for hub in live if hub.failure_domain == entry.failure_domain]
+        if self._members.full_mesh:
+            local = []
+        return ownership.rank("members", local or live)[0].vm == self._me.vm
+
     def _silent(self, vm: str, now: float) -> bool:
+        # What was not heard before this entry VM began to watch says nothing.
+        since = self._watched_since.setdefault(vm, now)
         if self._members.answers(vm, now):
             self._heard_at[vm] = now
-        return now - max(self._heard_at.get(vm, -math.inf), self._started_at) > GONE_AFTER
+        return now - max(self._heard_at.get(vm, -math.inf), since) > GONE_AFTER
 
     async def _mark(self, entry: records.MemberEntry) -> None:
         row = self._view.row(view.MEMBER_PREFIX + entry.vm)
--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -112,9 +112,11 @@
         """Return the groups that fall to this entry VM."""
         if self._app.stopping or not self._registry.registered:
             return ()
-        live = self._members.live(now)
+        live = self._members.live_hubs(now)
         groups = self._configuration.current.groups_by_name
         me = self._members.me.vm
+        if not self._members.is_hub:
+            return ()
         return tuple(name for name in groups if ownership.rank(name, live)[0].vm == me)
 
     async def _check(self, group: str) -> None:
@@ -150,7 +152,7 @@
         """Return the seconds for which a change is left to its holder."""
         if record.incarnation == self._registry.me.incarnation:
             return 0.0
-        live = {member.vm for member in self._members.live(now)}
+        live = {member.vm for member in self._members.live_hubs(now)}
         holder = self._view.members.get(record.holder)
         runs = holder is not None and holder.incarnation == record.incarnation
         return ABANDONED_BY_LIVE if runs and record.holder in live else ABANDONED_BY_DEAD
--- a/src/greengageshunt/coordination/records.py
+++ b/src/greengageshunt/coordination/records.py
@@ -135,9 +135,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CopyRequest:
-    """Asks a peer for its copy of the target list or the control table."""
+    """Asks a peer for its copy of the target list or the control table.
+
+    Attributes:
+        section: The section.
+        after: Version above which rows are asked for; 0 for all.
+    """
 
     section: Section
+    after: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -147,13 +153,15 @@
     Attributes:
         section: The section.
         version: Version of the store up to which the copy is complete.
+        digest: Digest of all rows.
         age: Seconds since the store was in this state.
-        control: Rows of the control table.
-        targets: Rows of the target list.
+        control: Rows of the control table, all or those above the version asked for.
+        targets: Rows of the target list, likewise.
     """
 
     section: Section
     version: int
+    digest: str
     age: float
     control: tuple[ControlRow, ...] = ()
     targets: tuple[TargetRow, ...] = ()
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -19,6 +19,24 @@
 
 EXPIRY_INTERVAL = 0.25  # seconds
 
+# Seconds without a confirmation after which an entry VM that is no hub reads a section itself. Hubs
+# confirm the control table each time their watch ends or a heartbeat is answered, and the
+# target list at least each time their longer watch ends.
+CONFIRMED_BY_HUBS = {
+    records.Section.CONTROL: 4.0,
+    records.Section.TARGETS: 24.0,
+}
+
+# Seconds between looks at whether hubs still confirm a section.
+HUB_INTERVAL = 0.25
+
+# Seconds for which the store may hold a call of an entry VM that is no hub; it allows 30.
+WAIT_BESIDE_HUBS = 25.0
+
+# Seconds between two calls for a section where there are many entry VMs; a change of
+# many rows would otherwise wake all of them for each.
+CALL_SPACING = 1.0
+
 _COPIED = (records.Section.CONTROL, records.Section.TARGETS)
 
 
@@ -31,6 +49,7 @@
         self._view: view.StoreView = app.part("coordination", "view")
         self._configuration = app.part("configuration", "state")
         self._links = app.part("peers", "links")
+        self._members = app.part("membership", "view")
         self._available = dict.fromkeys(records.Section, False)
         self._copying: dict[records.Section, asyncio.Task[None]] = {}
         self._reported: dict[str, int] = {}
@@ -67,8 +86,13 @@
         delay = SHORTEST_DELAY
         known: int | None = None
         while True:
+            if self._served_by_hubs(section):
+                known = None
+                await asyncio.sleep(HUB_INTERVAL)
+                continue
             try:
-                known = await self._read(section, known, wait)
+                changes = await self._read(section, known, self._wait(wait))
+                known = changes.version
             except errors.HistoryLostError as error:
                 logs.log_decision(logger, "read-whole", section=section, reason=str(error))
                 known = None
@@ -80,9 +104,27 @@
                 continue
             delay = SHORTEST_DELAY
             self._note_availability(section, True, "")
+            if changes.rows and not self._members.full_mesh:
+                await asyncio.sleep(CALL_SPACING)
+
+    def _wait(self, declared: float) -> float:
+        """Return the seconds for which the store may hold a call.
+
+        Only hubs need to hear soon that nothing changed; they tell the others.
+        """
+        return declared if self._members.is_hub else max(declared, WAIT_BESIDE_HUBS)
+
+    def _served_by_hubs(self, section: records.Section) -> bool:
+        """Return whether hubs keep the copy of a section current, so that no call is needed."""
+        limit = CONFIRMED_BY_HUBS.get(section)
+        if limit is None or self._members.is_hub:
+            return False
+        return self._app.clock() - self._view.copy(section).as_of < limit
 
-    async def _read(self, section: records.Section, known: int | None, wait: float) -> int:
-        """Read a section whole or what changed; return the version that is known now."""
+    async def _read(
+        self, section: records.Section, known: int | None, wait: float
+    ) -> records.Changes:
+        """Read a section whole, or what changed since a version."""
         if known is not None:
             changes = await self._store.changes(section, known, wait)
         else:
@@ -91,7 +133,7 @@
             self._adopt(changes)
         else:
             self._view.apply(section, changes, "store")
-        return changes.version
+        return changes
 
     def _adopt(self, changes: records.Changes) -> None:
         found = changes.configuration
@@ -125,38 +167,69 @@
             copy = self._view.copy(section)
             if digest == copy.digest and copy.version:
                 self._view.confirm(section, digest, version, sent_at - age)
-            elif version > copy.version and section not in self._copying:
+            elif version > copy.version and self._copies_from(vm, section):
                 self._copying[section] = asyncio.create_task(self._copy(vm, section))
 
+    def _copies_from(self, vm: str, section: records.Section) -> bool:
+        """Return whether to take over a newer copy of a peer now.
+
+        Bytes between failure domains are dear, so an entry VM that is no hub copies from
+        the own one while a hub there answers.
+        """
+        if section in self._copying:
+            return False
+        if self._members.is_hub:
+            return True
+        domain = self._members.me.failure_domain
+        local = {
+            hub.vm
+            for hub in self._members.live_hubs(self._app.clock())
+            if hub.failure_domain == domain
+        }
+        return vm in local or not local
+
     async def _copy(self, vm: str, section: records.Section) -> None:
-        """Take over a peer's newer copy."""
-        sent_at = self._app.clock()
+        """Take over a peer's newer rows, or all of them if rows were removed."""
         try:
-            request = records.CopyRequest(section=section)
-            answer = await self._links.request(vm, request, COPY_TIMEOUT)
+            if not await self._copy_after(vm, section, self._view.copy(section).version):
+                await self._copy_after(vm, section, 0)
         except errors.GreengageshuntError as error:
             logger.info("copy not received", extra={"peer": vm, "reason": str(error)})
-            return
         finally:
             self._copying.pop(section, None)
+
+    async def _copy_after(self, vm: str, section: records.Section, after: int) -> bool:
+        """Take over a peer's rows above a version; return False if they do not suffice.
+
+        Raises:
+            PeerError: The peer did not answer.
+            RefusedError: The peer refused the request.
+        """
+        sent_at = self._app.clock()
+        request = records.CopyRequest(section=section, after=after)
+        answer = await self._links.request(vm, request, COPY_TIMEOUT)
         changes = records.Changes(
-            whole=True,
+            whole=not after,
             rows=answer.control if section is records.Section.CONTROL else answer.targets,
             removed=(),
             version=answer.version,
             as_of=sent_at - answer.age,
         )
+        if after and view.apply(self._view.copy(section), changes).digest != answer.digest:
+            return False
         self._view.apply(section, changes, vm)
+        return True
 
     async def _answer_copy(
         self, message: records.CopyRequest, received_at: float
     ) -> records.CopyAnswer:
         copy = self._view.copy(message.section)
-        rows = tuple(copy.rows.values())
+        rows = tuple(row for row in copy.rows.values() if row.version > message.after)
         control = message.section is records.Section.CONTROL
         return records.CopyAnswer(
             section=message.section,
             version=copy.version,
+            digest=copy.digest,
             age=self._app.clock() - copy.as_of,
             control=rows if control else (),
             targets=() if control else rows,
--- a/src/greengageshunt/membership/confirmation.py
+++ b/src/greengageshunt/membership/confirmation.py
@@ -1,7 +1,8 @@
 """Confirmation: when this entry VM last knew that nothing newer was in force.
 
 An entry VM that neither the platform nor a majority of the entry VMs has
-confirmed for too long may miss a withdrawn key or a moved share. The argument
+confirmed for too long may miss a withdrawn key or a moved share. Where only a few hubs keep
+links to each other, the majority is one of the hubs that an entry VM is linked to. The argument
 for the bound is in docs/decisions/0009-confirmation-of-keys.md.
 """
 
@@ -79,10 +80,10 @@
     def _majority_at(self, now: float) -> float:
         if not self._view.listed:
             return -math.inf
-        return majority_confirmed_at(self._listed_peers(), len(self._view.members), now)
+        return majority_confirmed_at(self._listed_peers(), 1 + len(self._view.neighbours), now)
 
     def _listed_peers(self) -> list[float]:
-        listed = {member.vm for member in self._view.peers}
+        listed = {member.vm for member in self._view.neighbours}
         return [sent_at for vm, sent_at in self._peers.items() if vm in listed]
 
     def _report(self) -> dict[str, Any]:
@@ -98,7 +99,7 @@
         if not value["settled"] or value["version"] > self._configuration.version:
             return
         self._peers[vm] = max(sent_at, self._peers.get(vm, -math.inf))
-        needed = majority(len(self._view.members))
+        needed = majority(1 + len(self._view.neighbours))
         if self._view.listed and len(self._listed_peers()) >= needed:
             self._settle("peers")
 
--- a/src/greengageshunt/membership/view.py
+++ b/src/greengageshunt/membership/view.py
@@ -2,6 +2,7 @@
 
 from greengageshunt import application, config, model
 from greengageshunt import clock as clock_module
+from greengageshunt.membership import topology
 
 # Seconds without an answer after which a peer counts as dead.
 PEER_DEADLINE = 0.75
@@ -11,6 +12,10 @@
 LONGEST_EXCUSE = 3.0
 
 
+# Heartbeats between a hub and another entry VM are slower by this factor.
+SLOW_PACE = 2.0
+
+
 class MemberView:
     """Knows the listed entry VMs and when each peer last answered."""
 
@@ -20,8 +25,12 @@
         me: model.Member,
         clock: clock_module.Clock = clock_module.monotonic,
         deadline: float = PEER_DEADLINE,
+        sparse: bool = False,
     ) -> None:
         self._deadline = deadline
+        self._sparse = sparse
+        self._hubs: tuple[model.Member, ...] = (me,)
+        self._neighbours: tuple[model.Member, ...] = ()
         self._me = me
         self._clock = clock
         self._members: dict[str, model.Member] = {me.vm: me}
@@ -54,6 +63,26 @@
         """All listed members but the own entry VM."""
         return tuple(member for member in self.members if member.vm != self._me.vm)
 
+    @property
+    def hubs(self) -> tuple[model.Member, ...]:
+        """Members that watch the others; all of them where each keeps a link to each."""
+        return self._hubs
+
+    @property
+    def is_hub(self) -> bool:
+        """Whether the own entry VM is a hub."""
+        return self._me in self._hubs
+
+    @property
+    def neighbours(self) -> tuple[model.Member, ...]:
+        """Members to which the own entry VM keeps links."""
+        return self._neighbours
+
+    @property
+    def full_mesh(self) -> bool:
+        """Whether each member keeps a link to each other one."""
+        return len(self._hubs) == len(self._members)
+
     def member(self, vm: str) -> model.Member | None:
         """Return the member of this name, or None."""
         return self._members.get(vm)
@@ -73,8 +102,14 @@
         changed = members != self._members or not self._listed
         self._listed = True
         self._members = members
+        self._hubs = topology.hubs(self.members) if self._sparse else self.members
+        self._neighbours = topology.neighbours(members[self._me.vm], self._hubs)
         return changed
 
+    def record_heard(self, vm: str, now: float) -> None:
+        """Record that a member asked this entry VM, which shows that it runs."""
+        self._last_answer[vm] = max(now, self._last_answer.get(vm, now))
+
     def record_answer(self, vm: str, now: float, leaving: bool) -> None:
         """Record that a peer answered.
 
@@ -118,22 +153,44 @@
             return True
         never = float("-inf")
         heard_at = max(self._last_answer.get(vm, never), self._excused_at.get(vm, never))
-        return now - heard_at <= self._deadline
+        return now - heard_at <= self._deadline * self.pace(vm)
+
+    def pace(self, vm: str) -> float:
+        """Return by how much heartbeats between the own entry VM and another one are slower.
+
+        Heartbeats of entry VMs that are no hubs are most of all where there are many.
+        """
+        between_hubs = self.is_hub and self._members.get(vm) in self._hubs
+        return 1.0 if between_hubs else SLOW_PACE
 
     def live(self, now: float) -> tuple[model.Member, ...]:
         """Return the members that answer and are not leaving."""
-        return tuple(
-            member
-            for member in self.members
-            if self.answers(member.vm, now)
-            and member.vm not in self._leaving
-            and not member.leaving
-        )
+        return tuple(member for member in self.members if self._takes_work(member, now))
+
+    def live_hubs(self, now: float) -> tuple[model.Member, ...]:
+        """Return the hubs that answer and are not leaving.
+
+        On an entry VM that is no hub, these are those among its neighbours.
+        """
+        known = (*self._neighbours, self._me) if self.is_hub else self._neighbours
+        return tuple(member for member in known if self._takes_work(member, now))
+
+    def _takes_work(self, member: model.Member, now: float) -> bool:
+        leaving = member.vm in self._leaving or member.leaving
+        return not leaving and self.answers(member.vm, now)
 
 
 def setup(app: application.Application) -> None:
     """Register the member view."""
     app.add_event("members-changed")
+    app.add_setting(
+        config.Setting(
+            key="members.sparse",
+            kind=bool,
+            default=False,
+            doc="Whether entry VMs, where there are many, keep links to a few hubs only.",
+        )
+    )
     app.add_setting(
         config.Setting(
             key="members.deadline",
@@ -151,6 +208,11 @@
             failure_domain=settings["vm.failure_domain"],
             peer_address=settings["vm.peer_address"],
         )
-        return MemberView(me=me, clock=app.clock, deadline=settings["members.deadline"])
+        return MemberView(
+            me=me,
+            clock=app.clock,
+            deadline=settings["members.deadline"],
+            sparse=settings["members.sparse"],
+        )
 
     app.add_part("membership", "view", create)
--- a/src/greengageshunt/peers/link.py
+++ b/src/greengageshunt/peers/link.py
@@ -29,7 +29,7 @@
         *,
         app: application.Application,
         peer: model.Member,
-        heartbeat: abc.Callable[[], messages.Heartbeat],
+        heartbeat: abc.Callable[[float | None], messages.Heartbeat] | None,
         received: abc.Callable[[messages.HeartbeatAck, float], None],
         interval: float = HEARTBEAT_INTERVAL,
         silence: float = SILENCE_DEADLINE,
@@ -41,6 +41,7 @@
         self._heartbeat = heartbeat
         self._received = received
         self._connection: client.ClientConnection | None = None
+        self._opened = asyncio.Event()
         self._correlations = itertools.count(1)
         self._pending: dict[int, asyncio.Future[Any]] = {}
         self._late_answers = 0
@@ -51,6 +52,11 @@
         """The peer."""
         return self._peer
 
+    @property
+    def heartbeats(self) -> bool:
+        """Whether the link carries heartbeats; one without them serves single requests."""
+        return self._heartbeat is not None
+
     @property
     def connected(self) -> bool:
         """Whether the websocket is open."""
@@ -95,6 +101,20 @@
         fields = {"peer": self._peer.vm, "reason": str(error) or type(error).__name__}
         logger.info(message, extra=fields)
 
+    async def wait_connected(self, timeout: float) -> None:
+        """Wait until a link on demand is open; one with heartbeats is used as it is.
+
+        Raises:
+            PeerError: It does not open in time.
+        """
+        if self.heartbeats or self._connection is not None:
+            return
+        try:
+            async with asyncio.timeout(timeout):
+                await self._opened.wait()
+        except TimeoutError:
+            raise self._error("the peer link does not open", "connect", sent=False) from None
+
     async def request(self, message: Any, timeout: float) -> Any:
         """Send a request and return its answer.
 
@@ -119,6 +139,9 @@
                 await self._connection.send(messages.encode(message, correlation))
                 answer = await future
         except TimeoutError:
+            if not self.heartbeats:
+                # Nothing else notices that a link on demand has gone silent.
+                self._abort()
             raise self._error(f"no answer within {timeout:.3f} s", step, sent=True) from None
         except websockets.WebSocketException as error:
             raise self._error("the peer link closed", step, sent=True) from error
@@ -134,9 +157,11 @@
     async def _use(self, connection: client.ClientConnection) -> None:
         """Send heartbeats and deliver answers until the peer is silent."""
         self._connection = connection
+        self._opened.set()
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._send_heartbeats())
+                if self._heartbeat is not None:
+                    group.create_task(self._send_heartbeats(self._heartbeat))
                 group.create_task(self._receive(connection))
         except* Exception as error:
             # Whatever a broken message does to its receiver, only the link closes.
@@ -144,11 +169,13 @@
             raise ConnectionResetError(str(first) or type(first).__name__) from error
         finally:
             self._connection = None
+            self._opened.clear()
             self._fail_pending()
 
     async def _receive(self, connection: client.ClientConnection) -> None:
         while True:
-            async with asyncio.timeout(self._silence):
+            # Without heartbeats a link is silent while nothing is asked.
+            async with asyncio.timeout(self._silence if self.heartbeats else None):
                 frame = await connection.recv(decode=False)
             correlation, message = messages.decode(frame)
             future = self._pending.get(correlation)
@@ -160,16 +187,24 @@
                 continue
             future.set_result(message)
 
-    async def _send_heartbeats(self) -> None:
+    async def _send_heartbeats(
+        self, heartbeat: abc.Callable[[float | None], messages.Heartbeat]
+    ) -> None:
+        echo = None
         while True:
             sent_at = self._app.clock()
             try:
-                ack = await self.request(self._heartbeat(), self._silence)
+                ack = await self.request(heartbeat(echo), self._silence)
             except errors.GreengageshuntError as error:
                 raise ConnectionResetError(str(error)) from error
+            echo = ack.answered_at
             self._received(ack, sent_at)
             await asyncio.sleep(self._interval)
 
+    def _abort(self) -> None:
+        if self._connection is not None:
+            self._connection.transport.abort()
+
     def _fail_pending(self) -> None:
         for future in self._pending.values():
             if not future.done():
--- a/src/greengageshunt/peers/links.py
+++ b/src/greengageshunt/peers/links.py
@@ -5,7 +5,7 @@
 from collections import abc
 from typing import Any
 
-from greengageshunt import application, config, errors
+from greengageshunt import application, config, errors, model
 from greengageshunt.peers import link, messages
 
 logger = logging.getLogger(__name__)
@@ -15,6 +15,10 @@
 # Seconds between reconciliations after which this process counts as having been paused.
 PAUSE_LIMIT = 0.4
 
+# Seconds after its last request at which a link to an entry VM that is no neighbour is closed.
+# Longer than a change of primary, which asks all entry VMs several times.
+ON_DEMAND_PERIOD = 15.0
+
 # Returns the value that a plug-in adds to each heartbeat's answer.
 ExtraSource = abc.Callable[[], Any]
 
@@ -35,12 +39,23 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._sources: dict[str, ExtraSource] = {}
         self._sinks: dict[str, ExtraSink] = {}
+        self._asked: set[str] = set()
+        self._used_at: dict[str, float] = {}
         app.part("peers", "server").add_handler(messages.Heartbeat, self._answer_heartbeat)
         app.part("peers", "server").add_handler(messages.Leaving, self._note_leaving)
 
-    def add_extra(self, name: str, source: ExtraSource, sink: ExtraSink) -> None:
+    def add_extra(
+        self, name: str, source: ExtraSource, sink: ExtraSink, *, asked: bool = False
+    ) -> None:
         """Let a plug-in exchange a value with each heartbeat.
 
+        Args:
+            name: Name of the value.
+            source: Returns the value that an answer carries.
+            sink: Takes the values of others.
+            asked: Whether a heartbeat carries the value too where only hubs are asked;
+                they learn from nobody else what most entry VMs know.
+
         Raises:
             RegistryError: The name is taken.
         """
@@ -48,6 +63,8 @@
             raise errors.RegistryError(f"heartbeat value {name!r} is already registered")
         self._sources[name] = source
         self._sinks[name] = sink
+        if asked:
+            self._asked.add(name)
 
     @property
     def open_connections(self) -> int:
@@ -57,14 +74,22 @@
     async def request(self, vm: str, message: Any, timeout: float) -> Any:
         """Send a request to a peer and return its answer.
 
+        A link to a member that is no neighbour is opened for the request, and kept for a while.
+
         Raises:
             PeerError: The peer is unknown, or the link failed.
             RefusedError: The peer refused the request.
         """
+        now = self._app.clock()
         peer_link = self._links.get(vm)
         if peer_link is None:
-            raise errors.PeerError("unknown peer", step="request", peer=vm, sent=False)
-        return await peer_link.request(message, timeout)
+            peer = self._view.member(vm)
+            if peer is None or vm == self._view.me.vm:
+                raise errors.PeerError("unknown peer", step="request", peer=vm, sent=False)
+            peer_link = self._open(peer, heartbeats=False)
+        self._used_at[vm] = now
+        await peer_link.wait_connected(timeout)
+        return await peer_link.request(message, timeout - (self._app.clock() - now))
 
     async def run(self) -> None:
         """Keep one task for each peer until cancelled."""
@@ -96,35 +121,61 @@
             logger.info("peer was not told of the stop", extra=fields)
 
     def _reconcile(self) -> None:
-        peers = {peer.vm: peer for peer in self._view.peers}
-        for vm in list(self._links):
-            if peers.get(vm) != self._links[vm].peer:
+        """Open and close links as the members say; links on demand end when they are idle."""
+        now = self._app.clock()
+        wanted = {peer.vm: peer for peer in self._view.neighbours}
+        for vm, peer_link in list(self._links.items()):
+            peer = self._view.member(vm)
+            if peer_link.heartbeats:
+                keep = wanted.get(vm) == peer_link.peer
+            else:
+                idle = now - self._used_at.get(vm, now) > ON_DEMAND_PERIOD
+                keep = peer == peer_link.peer and vm not in wanted and not idle
+            if not keep:
                 self._tasks.pop(vm).cancel()
                 del self._links[vm]
-        for vm, peer in peers.items():
+        for vm, peer in wanted.items():
             if vm not in self._links:
-                self._links[vm] = link.PeerLink(
-                    app=self._app,
-                    peer=peer,
-                    heartbeat=self._heartbeat,
-                    received=self._received,
-                    interval=self._app.settings["peers.heartbeat"],
-                    silence=self._app.settings["peers.silence"],
-                )
-                self._tasks[vm] = asyncio.create_task(self._links[vm].run(), name=f"peer {vm}")
-
-    def _heartbeat(self) -> messages.Heartbeat:
+                self._open(peer, heartbeats=True)
+
+    def _open(self, peer: model.Member, *, heartbeats: bool) -> link.PeerLink:
+        pace = self._view.pace(peer.vm)
+        opened = self._links[peer.vm] = link.PeerLink(
+            app=self._app,
+            peer=peer,
+            heartbeat=self._heartbeat if heartbeats else None,
+            received=self._received,
+            interval=self._app.settings["peers.heartbeat"] * pace,
+            silence=self._app.settings["peers.silence"] * pace,
+        )
+        self._tasks[peer.vm] = asyncio.create_task(opened.run(), name=f"peer {peer.vm}")
+        return opened
+
+    def _heartbeat(self, echo: float | None) -> messages.Heartbeat:
         return messages.Heartbeat(
             vm=self._view.me.vm,
             configuration_version=self._configuration.version,
             leaving=self._app.stopping,
+            extras=self._asked_extras(),
+            echo=echo,
         )
 
+    def _asked_extras(self) -> dict[str, Any]:
+        if self._view.full_mesh:
+            return {}
+        return {name: self._sources[name]() for name in self._asked}
+
     async def _answer_heartbeat(
         self, message: messages.Heartbeat, received_at: float
     ) -> messages.HeartbeatAck:
         now = self._app.clock()
         self._view.mark_leaving(message.vm, message.leaving)
+        if not self._view.full_mesh:
+            self._view.record_heard(message.vm, now)
+        if message.echo is not None:
+            for name, value in message.extras.items():
+                if name in self._asked:
+                    self._sinks[name](message.vm, value, message.echo)
         reports = tuple(
             messages.StatusReport(status=status, age=now - status.observed_at)
             for status in self._directory.own_statuses
@@ -136,6 +187,7 @@
             statuses=reports,
             groups=self._directory.records,
             extras={name: source() for name, source in self._sources.items()},
+            answered_at=now,
         )
 
     async def _note_leaving(
--- a/src/greengageshunt/peers/messages.py
+++ b/src/greengageshunt/peers/messages.py
@@ -24,11 +24,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Heartbeat:
-    """Sent at a fixed interval by the side that opened the link."""
+    """Sent at a fixed interval by the side that opened the link.
+
+    Attributes:
+        vm: Asking entry VM.
+        configuration_version: Version in force there.
+        leaving: Whether it takes no new work.
+        extras: Values that plug-ins add for hubs, by plug-in name.
+        echo: ``answered_at`` of the peer's last answer on the same connection, or None.
+            The extras are newer than that.
+    """
 
     vm: str
     configuration_version: int
     leaving: bool
+    extras: dict[str, Any] = dataclasses.field(default_factory=dict)
+    echo: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -42,6 +53,7 @@
         statuses: Targets that it checks itself.
         groups: Group records that it knows.
         extras: Values that plug-ins add, by plug-in name.
+        answered_at: Monotonic seconds of the answering entry VM, to be echoed.
     """
 
     vm: str
@@ -50,6 +62,7 @@
     statuses: tuple[StatusReport, ...]
     groups: tuple[model.GroupRecord, ...]
     extras: dict[str, Any]
+    answered_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/greengageshunt/pooling/freshness.py
+++ b/src/greengageshunt/pooling/freshness.py
@@ -43,7 +43,9 @@
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
         self._pairs: dict[str, collections.deque[Pair]] = {}
-        app.part("peers", "links").add_extra("positions", self._report, self._note_report)
+        app.part("peers", "links").add_extra(
+            "positions", self._report, self._note_report, asked=True
+        )
 
     def note(self, group: str, covered_at: float, position: model.Position) -> None:
         """Record an answer of a primary.
--- a/src/greengageshunt/pooling/pool.py
+++ b/src/greengageshunt/pooling/pool.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import logging
+import math
 from collections import abc
 from typing import Any
 
@@ -60,10 +61,12 @@
         driver: Any,
         limit: abc.Callable[[], int],
         clock: clock_module.Clock,
+        idle_limit: abc.Callable[[], float] = lambda: math.inf,
     ) -> None:
         self._entry = entry
         self._driver = driver
         self._limit = limit
+        self._idle_limit = idle_limit
         self._clock = clock
         self._idle: list[Any] = []
         self._open = 0
@@ -194,7 +197,7 @@
         connection.used_at = self._clock()
         waiter = self._next_waiter(connection.account)
         if waiter is None:
-            self._idle.append(connection)
+            self._keep_idle(connection)
         elif waiter.account == connection.account:
             waiter.granted.set_result(connection)
         else:
@@ -202,6 +205,19 @@
             # The room of the closed connection goes to the waiter.
             waiter.granted.set_result(None)
 
+    def _keep_idle(self, connection: Any) -> None:
+        self._idle.append(connection)
+        limit = self._idle_limit()
+        if limit < math.inf:
+            loop = asyncio.get_running_loop()
+            loop.call_later(limit, self._close_unused, connection, connection.used_at)
+
+    def _close_unused(self, connection: Any, used_at: float) -> None:
+        """Close a connection that was not used since it became idle."""
+        if connection.used_at == used_at and connection in self._idle:
+            self._idle.remove(connection)
+            self._drop(connection)
+
     def _take_idle(self, account: str, values: abc.Mapping[str, str]) -> Any:
         own = []
         for item in list(self._idle):
--- a/src/greengageshunt/pooling/pools.py
+++ b/src/greengageshunt/pooling/pools.py
@@ -1,5 +1,6 @@
 """The pools of all targets on one entry VM."""
 
+import math
 from collections import abc
 
 from greengageshunt import application
@@ -9,6 +10,15 @@
 # Connections that a target accepts while its group's limits are unknown.
 UNKNOWN_LIMIT = 1
 
+# Connections of an even part below which entry VMs share the connections of a target instead.
+SMALLEST_PART = 2
+
+# Connections to one target that an entry VM opens at most where they are shared.
+SHARED_LIMIT = 4
+
+# Seconds for which a shared connection stays open without use; then others may have its place.
+SHARED_IDLE_LIMIT = 0.3
+
 
 class TargetPools:
     """Keeps one pool for each listed target."""
@@ -35,16 +45,27 @@
                 entry=entry,
                 driver=self._driver,
                 limit=lambda: self._limit(entry.group),
+                idle_limit=lambda: self._idle_limit(entry.group),
                 clock=self._app.clock,
             )
             self._pools[entry.target] = known
         return known
 
-    def _limit(self, group: str) -> int:
+    def _even_part(self, group: str) -> int:
         limits = self._configuration.current.groups_by_name.get(group)
         allowed = limits.connection_limit if limits else UNKNOWN_LIMIT
         return allowed // max(1, len(self._members.members))
 
+    def _limit(self, group: str) -> int:
+        part = self._even_part(group)
+        if part >= SMALLEST_PART or self._members.full_mesh:
+            return part
+        return SHARED_LIMIT
+
+    def _idle_limit(self, group: str) -> float:
+        shared = self._even_part(group) < SMALLEST_PART and not self._members.full_mesh
+        return SHARED_IDLE_LIMIT if shared else math.inf
+
     def _update(self, entries: tuple[records.TargetEntry, ...]) -> None:
         listed = {entry.target: entry for entry in entries}
         for name in list(self._pools):
--- a/src/greengageshunt/programs/entry.py
+++ b/src/greengageshunt/programs/entry.py
@@ -16,6 +16,7 @@
     "peers.heartbeat": 0.5,
     "peers.silence": 1.5,
     "members.deadline": 1.6,
+    "members.sparse": True,
     "confirmation.limit": 7.0,
 }
 
--- a/tests/test_admission/test_granted.py
+++ b/tests/test_admission/test_granted.py
@@ -160,8 +160,7 @@
     account = next(
         name
         for name in (f"account-{number}" for number in range(100))
-        if "a" in granted.holders_of(name, before.names)
-        and "e" in granted.holders_of(name, after.names)
+        if "a" in granted.holders_of(name, before) and "e" in granted.holders_of(name, after)
     )
     known = (after, before)
     assert not granted.may_grant(account, "e", known, 8, 51.0)
--- a/tests/test_peers/test_link.py
+++ b/tests/test_peers/test_link.py
@@ -59,7 +59,9 @@
         peer_link = link.PeerLink(
             app=app,
             peer=model.Member(vm="vm-2", failure_domain="klang", peer_address=f"{host}:{port}"),
-            heartbeat=lambda: messages.Heartbeat(vm="vm-1", configuration_version=1, leaving=False),
+            heartbeat=lambda echo: messages.Heartbeat(
+                vm="vm-1", configuration_version=1, leaving=False, echo=echo
+            ),
             received=lambda ack, sent_at: None,
         )
         task = asyncio.create_task(peer_link.run())
