Add a fault soak of the platform's program, and tests of sparse links

At the end it checks what clients were told against what the targets did: writes once and kept, refusals true, reads recent enough, statements of the right account and values, rates, tokens of orders, recovery.

Calls to the store after a change are spaced by the number of callers, and targets are confirmed each 10 s.

--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -15,6 +15,9 @@
 SHORTEST_DELAY = 0.1
 LONGEST_DELAY = 1.0
 
+# Factor of these delays on an entry VM that is no hub; failed calls are priced, too.
+SLOWER_BESIDE_HUBS = 4.0
+
 COPY_TIMEOUT = 0.5  # seconds
 
 EXPIRY_INTERVAL = 0.25  # seconds
@@ -33,9 +36,9 @@
 # Seconds for which the store may hold a call of an entry VM that is no hub; it allows 30.
 WAIT_BESIDE_HUBS = 25.0
 
-# Seconds between two calls for a section where there are many entry VMs; a change of
-# many rows would otherwise wake all of them for each.
-CALL_SPACING = 1.0
+# Calls a second for one section that all entry VMs together make while its rows change one
+# after the other. Without a bound each of many rows would wake each of many entry VMs.
+CALL_RATE = 50.0
 
 _COPIED = (records.Section.CONTROL, records.Section.TARGETS)
 
@@ -100,12 +103,27 @@
             except errors.PlatformError as error:
                 self._note_availability(section, False, str(error))
                 await asyncio.sleep(delay * random.uniform(0.5, 1.0))
-                delay = min(2 * delay, LONGEST_DELAY)
+                delay = min(2 * delay, self._longest_delay)
                 continue
             delay = SHORTEST_DELAY
             self._note_availability(section, True, "")
-            if changes.rows and not self._members.full_mesh:
-                await asyncio.sleep(CALL_SPACING)
+            if changes.rows:
+                await asyncio.sleep(self._spacing)
+
+    @property
+    def _spacing(self) -> float:
+        """Return the seconds until the next call after one that brought changes.
+
+        An entry VM whose registration is not confirmed yet cannot serve, and does not wait.
+        """
+        if not self._app.part("coordination", "members").registered:
+            return 0.0
+        callers = self._members.hubs if self._members.is_hub else self._members.members
+        return len(callers) / CALL_RATE
+
+    @property
+    def _longest_delay(self) -> float:
+        return LONGEST_DELAY if self._members.is_hub else LONGEST_DELAY * SLOWER_BESIDE_HUBS
 
     def _wait(self, declared: float) -> float:
         """Return the seconds for which the store may hold a call.
@@ -240,7 +258,7 @@
     """Register the watch of the store."""
     waits = {
         "configuration": 6.0,
-        "targets": 20.0,
+        "targets": 10.0,
         "control": 2.0,
     }
     for name, default in waits.items():
--- a/src/greengageshunt/peers/link.py
+++ b/src/greengageshunt/peers/link.py
@@ -202,8 +202,10 @@
             await asyncio.sleep(self._interval)
 
     def _abort(self) -> None:
-        if self._connection is not None:
-            self._connection.transport.abort()
+        connection, self._connection = self._connection, None
+        self._opened.clear()
+        if connection is not None:
+            connection.transport.abort()
 
     def _fail_pending(self) -> None:
         for future in self._pending.values():
--- /dev/null
+++ b/tests/soak/clients.py
@@ -0,0 +1,194 @@
+"""Clients of a run: sessions that stay open until their process is gone."""
+
+import asyncio
+import random
+import time
+from collections import abc
+
+from soak import ledger
+from support import entry_fleet
+
+DATABASES = ("db_primary", "db_bounded_staleness", "db_read_your_writes")
+
+OPEN_TIMEOUT = 2.0  # seconds
+ANSWER_TIMEOUT = 8.0  # seconds; the statements' own limit is 2 s
+LONGEST_PAUSE = 0.15  # seconds between operations
+PLACES = ("north", "south")
+
+
+class Client:
+    """One client: writes to items of its own, reads those of all."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        account: str,
+        rng: random.Random,
+        book: ledger.Ledger,
+        vms: abc.Sequence[entry_fleet.EntryVm],
+        items: list[str],
+    ) -> None:
+        self._name, self._account, self._rng, self._book = name, account, rng, book
+        self._vms, self._items = vms, items
+        self._number = 0
+        self._item = ""
+        self._new_item()
+        self._values: dict[str, str] = {}
+        self._prepared: set[str] = set()
+        self.vm = ""
+        self.waiting_since: float | None = None
+
+    def _new_item(self) -> None:
+        """Use another item after an unknown outcome; a late write would reorder this one."""
+        self._item = f"{self._name}.{self._number}"
+        self._items.append(self._item)
+
+    async def run(self) -> None:
+        """Open sessions and use them until cancelled."""
+        while True:
+            vm = self._rng.choice(self._vms)
+            database = self._rng.choice(DATABASES)
+            try:
+                async with asyncio.timeout(OPEN_TIMEOUT):
+                    session = await entry_fleet.Caller.open(vm, database, f"key-{self._account}")
+            except (OSError, TimeoutError, AssertionError):
+                await asyncio.sleep(0.1)
+                continue
+            self.vm, self._values, self._prepared = vm.name, {}, set()
+            try:
+                while True:
+                    await self._operate(session, database)
+                    await asyncio.sleep(self._rng.uniform(0, LONGEST_PAUSE))
+            except (OSError, TimeoutError):
+                self.waiting_since = None
+            finally:
+                session.close()
+
+    async def _operate(self, session: entry_fleet.Caller, database: str) -> None:
+        draw = self._rng.random()
+        if draw < 0.1:
+            await self._set_up(session)
+        elif draw < 0.3:
+            await self._transact(session, database)
+        elif draw < 0.6:
+            await self._write(session)
+        else:
+            await self._read(session, database, "", time.monotonic())
+
+    async def _send(
+        self, session: entry_fleet.Caller, text: str, operation: str = ""
+    ) -> tuple[list[str], str, str]:
+        """Run a statement; return its lines, the state, and the code of an error."""
+        statement_id = session.next_id()
+        self._book.sent[statement_id] = ledger.Sent(
+            text=text,
+            operation=operation or statement_id,
+            account=self._account,
+            values=tuple(sorted(self._values.items())),
+        )
+        self.waiting_since = time.monotonic()
+        async with asyncio.timeout(ANSWER_TIMEOUT):
+            lines, state = await session.run(text, statement_id)
+        self.waiting_since = None
+        words = lines[-1].split(" ")
+        code = words[1] if words[0] == "ERROR" else ""
+        self._book.codes[code or "ok"] += 1
+        own = text.split(" ")[0] in ("READ", "WRITE", "EXECUTE", "COMMIT")
+        if not code and own and not words[1].endswith(f".{statement_id}"):
+            self._book.broken.append(f"MIXED: {text} got {lines}")
+        return lines, state, code
+
+    async def _set_up(self, session: entry_fleet.Caller) -> None:
+        place = self._rng.choice(PLACES)
+        _, _, code = await self._send(session, f"SET place {place}")
+        if code:
+            raise ConnectionError(code)
+        self._values["place"] = place
+        name = f"s{self._rng.randrange(3)}"
+        _, _, code = await self._send(session, f"PREPARE {name} WRITE q2")
+        if code:
+            raise ConnectionError(code)
+        self._prepared.add(name)
+
+    def _next_value(self) -> str:
+        self._number += 1
+        return f"{self._name}-{self._number}"
+
+    def _write_text(self, value: str) -> str:
+        if self._prepared and self._rng.random() < 0.5:
+            return f"EXECUTE {self._rng.choice(sorted(self._prepared))} {self._item} {value}"
+        return f"WRITE {self._item} {value}"
+
+    async def _write(self, session: entry_fleet.Caller) -> None:
+        value = self._next_value()
+        try:
+            _, _, code = await self._send(session, self._write_text(value))
+        except (OSError, TimeoutError):
+            self._new_item()
+            raise
+        self._conclude([value], code)
+
+    def _conclude(self, values: abc.Iterable[str], code: str) -> None:
+        """Note what a client may conclude for its writes from the last answer."""
+        if code and code not in ledger.PROMISES:
+            self._new_item()
+        for value in values:
+            if code in ledger.PROMISES:
+                self._book.refused[value] = code
+            elif not code:
+                self._book.acknowledged.append(
+                    ledger.Acknowledged(
+                        item=self._item,
+                        number=int(value.rpartition("-")[2]),
+                        value=value,
+                        at=time.monotonic(),
+                        client=self._name,
+                    )
+                )
+
+    async def _read(
+        self, session: entry_fleet.Caller, database: str, operation: str, began_at: float
+    ) -> str:
+        item = self._rng.choice([self._item, self._rng.choice(self._items)])
+        lines, _, code = await self._send(session, f"READ {item}", operation)
+        if not code:
+            number = lines[0].rpartition("-")[2]
+            self._book.seen.append(
+                ledger.Seen(
+                    item=item,
+                    number=int(number) if number.isdigit() else -1,
+                    began_at=began_at,
+                    database="db_primary" if operation else database,
+                    client=self._name,
+                )
+            )
+        return code
+
+    async def _transact(self, session: entry_fleet.Caller, database: str) -> None:
+        began_at = time.monotonic()
+        operation = f"{self._name}:{began_at}"
+        values: list[str] = []
+        try:
+            _, _, code = await self._send(session, "BEGIN", operation)
+            if code:
+                return
+            for _ in range(self._rng.randrange(1, 4)):
+                if code:
+                    break
+                if self._rng.random() < 0.5:
+                    values.append(self._next_value())
+                    text = self._write_text(values[-1])
+                    _, _, code = await self._send(session, text, operation)
+                elif not values:
+                    code = await self._read(session, database, operation, began_at)
+                await asyncio.sleep(self._rng.uniform(0, 0.05))
+            word = "ROLLBACK" if code or self._rng.random() < 0.2 else "COMMIT"
+            _, _, ended = await self._send(session, word, operation)
+        except (OSError, TimeoutError):
+            self._new_item()
+            raise
+        if word == "ROLLBACK":
+            self._conclude(values, "ABORTED")
+        else:
+            self._conclude(values, ended)
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -64,7 +64,9 @@
 class EntryVm:
     """One process and its settings file."""
 
-    def __init__(self, *, name: str, host: str, folder: pathlib.Path, store_port: int) -> None:
+    def __init__(
+        self, *, name: str, host: str, folder: pathlib.Path, store_port: int, zone: str = "a"
+    ) -> None:
         self.name = name
         self.host = host
         self.front = free_port(host)
@@ -74,7 +76,7 @@
         self.process: subprocess.Popen | None = None
         fields = {
             "node-name": name,
-            "zone": "a",
+            "zone": zone,
             "ip": host,
             "listen.front": f"{host}:{self.front}",
             "listen.ready": f"{host}:{self.ready}",
@@ -112,27 +114,36 @@
 class Fleet:
     """A store, one group of three targets, and entry VMs."""
 
-    def __init__(self, *, folder: pathlib.Path, size: int) -> None:
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        size: int,
+        zones: str = "a",
+        store_ports: abc.Sequence[int] = (),
+    ) -> None:
+        self.published: dict[str, int] = {}
         self.store = table_store.TableStore()
         self.group = line_target.LineGroup(
             name=GROUP, targets=("t-1", "t-2", "t-3"), connection_limit=16
         )
-        self._store_port = free_port()
+        self.store_port = free_port()
         self.vms = [
             EntryVm(
                 name=f"vm-{index}",
                 host=f"127.0.0.{20 + index}",
                 folder=folder,
-                store_port=self._store_port,
+                store_port=store_ports[index] if store_ports else self.store_port,
+                zone=zones[index % len(zones)],
             )
             for index in range(size)
         ]
 
     async def __aenter__(self) -> "Fleet":
         self.store.promote = self._promote
-        await self.store.start(self._store_port)
+        await self.store.start(self.store_port)
         for target in self.group.targets.values():
-            await target.start(free_port())
+            await target.start(target.port or free_port())
             self.announce(target)
         for vm in self.vms:
             vm.start()
@@ -153,7 +164,7 @@
         """Write the entry of a target, as it does itself."""
         entry = {
             "service": GROUP,
-            "address": f"127.0.0.1:{target.port}",
+            "address": f"127.0.0.1:{self.published.get(target.name, target.port)}",
             "zone": "a",
             "version": "v1",
             "slots": 4,
@@ -222,10 +233,14 @@
         assert line == "READY I -", line
         return cls(reader=reader, writer=writer)
 
-    async def run(self, text: str) -> tuple[list[str], str]:
-        """Run a statement; return its rows with the last line, and the state."""
+    def next_id(self) -> str:
+        """Return an id for a statement."""
         self._count += 1
-        self._writer.write(f"QUERY q{id(self) % 10**6:x}{self._count:04x} {text}\r\n".encode())
+        return f"q{id(self) % 10**6:x}{self._count:04x}"
+
+    async def run(self, text: str, statement_id: str = "") -> tuple[list[str], str]:
+        """Run a statement; return its rows with the last line, and the state."""
+        self._writer.write(f"QUERY {statement_id or self.next_id()} {text}\r\n".encode())
         lines = []
         while True:
             line = (await self._reader.readline()).decode()
--- a/tests/support/line_target.py
+++ b/tests/support/line_target.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import time
 
 REPLICATION_LAG = 0.02  # seconds
 
@@ -16,6 +17,7 @@
     text: str
     values: tuple[tuple[str, str], ...]
     connection: int
+    at: float
 
 
 class LineTarget:
@@ -31,6 +33,7 @@
         self.delay = 0.0
         self.lose_answers = 0
         self.deaf = False
+        self.parted = False
         self.port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -38,8 +41,17 @@
 
     @property
     def primary(self) -> bool:
-        """Whether the target leads its group."""
-        return self.group.primary == self.name
+        """Whether the target believes to lead its group."""
+        return self.parted or self.group.primary == self.name
+
+    def part(self) -> None:
+        """Partition a primary from the others of its group: it does not learn that it lost."""
+        self.parted = self.group.primary == self.name
+
+    def join(self) -> None:
+        """End the partition; what another primary does not have is rolled back."""
+        self.parted = False
+        self.group.copy()
 
     @property
     def position(self) -> str:
@@ -134,7 +146,7 @@
             row = f"ROW {role} {group.term} {target.position} 0 0 0 {target.sessions}\r\n"
             return self._complete(row)
         if word == "STEPDOWN":
-            group.primary = "" if target.primary else group.primary
+            group.primary = "" if group.primary == target.name else group.primary
             row = f"ROW replica {group.term} {target.position} 0 0 0 {target.sessions}\r\n"
             return self._complete(row)
         if word in ("SET", "PREPARE", "RESET", "CLOSE"):
@@ -177,6 +189,7 @@
             text=text,
             values=tuple(sorted(self._values.items())),
             connection=self._number,
+            at=time.monotonic(),
         )
         signature = f"{target.name}.{statement_id}"
         if word == "WRITE":
@@ -208,6 +221,9 @@
 
     def _commit(self) -> None:
         group = self._target.group
+        if group.primary != self._target.name:
+            # The target is parted, and another one leads.
+            group.outdated |= {data for _, data in self._writes}
         for item, data in self._writes:
             self._target.log.append((group.term, item, data))
             group.replicate()
@@ -230,21 +246,33 @@
         self.term = 1
         self.primary = targets[0]
         self.targets = {target: LineTarget(group=self, name=target) for target in targets}
+        self.rolled_back: set[str] = set()
+        self.outdated: set[str] = set()
 
     def replicate(self) -> None:
         """Copy the primary's log to the replicas, a little later."""
-        asyncio.get_running_loop().call_later(REPLICATION_LAG, self._copy)
+        asyncio.get_running_loop().call_later(REPLICATION_LAG, self.copy)
 
-    def _copy(self) -> None:
+    def copy(self) -> None:
+        """Give the primary's log to all replicas that it reaches."""
         source = self.targets.get(self.primary)
+        if source is None or source.parted:
+            return
         for target in self.targets.values():
-            if source is not None and target is not source and not target.deaf:
+            if target is not source and not target.deaf and not target.parted:
                 target.log = list(source.log)
 
+    def _roll_back(self, name: str) -> None:
+        """Note what a new primary did not receive; it is lost whatever happens next."""
+        kept = set(self.targets[name].log)
+        for target in self.targets.values():
+            self.rolled_back |= {data for *_, data in set(target.log) - kept}
+
     async def promote(self, name: str) -> bool:
         """Make a target the primary of the next term."""
         if self.primary != name:
             await asyncio.sleep(REPLICATION_LAG)
+            self._roll_back(name)
             self.primary = name
             self.term += 1
         return True
--- a/tests/support/relay.py
+++ b/tests/support/relay.py
@@ -47,6 +47,8 @@
         self._silence_pattern = b""
         self._silences_left = 0
         self.delay = 0.0
+        self.drop_to_server = False
+        self.drop_to_client = False
         self.accepted = 0
         self.cuts = 0
         self.silenced = 0
@@ -116,7 +118,8 @@
                     return
                 if self.delay:
                     await asyncio.sleep(self.delay)
-                if connection.silent:
+                dropped = self.drop_to_server if to_server else self.drop_to_client
+                if connection.silent or dropped:
                     continue
                 writer.write(data)
                 await writer.drain()
--- a/tests/test_admission/test_granted.py
+++ b/tests/test_admission/test_granted.py
@@ -52,15 +52,28 @@
 class _Me:
     me: model.Member
 
+    def member(self, vm: str) -> model.Member:
+        """Return any entry VM as a member."""
+        return _member(vm)
+
+
+def _member(vm: str) -> model.Member:
+    return model.Member(vm=vm, failure_domain=_domain(vm), peer_address="127.0.0.1:1")
+
 
 class _Watch:
     def __init__(self) -> None:
         self.reported_versions: dict[str, int] = {}
 
 
+def _domain(vm: str) -> str:
+    """Return the failure domain that a name such as ``b/vm-1`` stands in."""
+    return vm.partition("/")[0] if "/" in vm else "a"
+
+
 def _row(vm: str, version: int) -> records.ControlRow:
     entry = records.MemberEntry(
-        vm=vm, failure_domain="a", peer_address="127.0.0.1:1", incarnation="x"
+        vm=vm, failure_domain=_domain(vm), peer_address="127.0.0.1:1", incarnation="x"
     )
     return records.ControlRow(key=f"members/{vm}", version=version, value=view.codec.to_json(entry))
 
@@ -70,10 +83,9 @@
     app.add_event("configuration-changed")
     view.setup(app)
     peers = _Peers(network=network, vm=vm)
-    member = model.Member(vm=vm, failure_domain="a", peer_address="127.0.0.1:1")
     app.add_part("peers", "server", lambda app: peers)
     app.add_part("peers", "links", lambda app: peers)
-    app.add_part("membership", "view", lambda app: _Me(me=member))
+    app.add_part("membership", "view", lambda app: _Me(me=_member(vm)))
     app.add_part("coordination", "watch", lambda app: _Watch())
     granted.setup(app)
     values = {"limits.tolerance": 0.0, "limits.slack": 0.0, "limits.window": WINDOW, **limits}
@@ -127,6 +139,57 @@
     assert _largest_window(times) <= ACCOUNT.rate * WINDOW + ACCOUNT.burst
 
 
+MANY = tuple(f"{domain}/vm-{index}" for domain in "abcd" for index in range(15))
+
+
+@pytest.mark.parametrize("seed", range(6))
+async def test_limit_holds_over_many_entry_vms(seed):
+    """Guards against buckets of one token on each of 60 entry VMs, more than the limit together."""
+    rng = random.Random(seed)
+    clock, network = Clock(), Network()
+    fleet = {vm: _policy(vm, MANY, clock, network) for vm in MANY}
+    times: list[float] = []
+    for step in range(1500):
+        clock.now += rng.expovariate(150.0)
+        if rng.random() < 0.003:
+            network.cut = {vm for vm in MANY if _domain(vm) == rng.choice("abcde")}
+        if rng.random() < 0.003:
+            for vm in rng.sample(MANY, rng.choice((1, 20, 60))):
+                fleet[vm] = _policy(vm, MANY, clock, network)
+        if step % 50 == 0:
+            for vm, (app, _) in fleet.items():
+                if vm not in network.cut:
+                    _learn(app, MANY, clock, 1)
+        if await _admit(fleet[rng.choice(MANY)][1], clock):
+            times.append(clock.now)
+    assert _largest_window(times) <= ACCOUNT.rate * WINDOW + ACCOUNT.burst
+
+
+async def test_many_entry_vms_together_can_use_nearly_all_of_an_account():
+    """Guards against refusals within the rate where callers are spread over many entry VMs."""
+    clock, network = Clock(), Network()
+    fleet = {vm: _policy(vm, MANY, clock, network) for vm in MANY}
+    clock.now += 2.0
+    rng = random.Random(1)
+    served, asked = 0, int(5 * 0.6 * ACCOUNT.rate)
+    for _ in range(asked):
+        clock.now += 1 / (0.6 * ACCOUNT.rate)
+        for app, _ in fleet.values():
+            _learn(app, MANY, clock, 1)
+        served += await _admit(fleet[rng.choice(MANY)][1], clock)
+    assert served >= 0.98 * asked
+
+
+async def test_own_failure_domain_is_asked_first():
+    """Guards against bytes between failure domains for each request."""
+    clock, network = Clock(), Network()
+    _, policy = _policy("b/vm-3", MANY, clock, network)
+    for number in range(20):
+        order = policy._ask_order(f"account-{number}")
+        assert [_domain(vm) for vm in order].index("b") == 0
+        assert sorted(map(_domain, order)) == list("abcd")
+
+
 async def test_one_entry_vm_can_use_nearly_all_of_an_account():
     """Guards against refusals within the rate where one entry VM has all callers."""
     clock, network = Clock(), Network()
--- /dev/null
+++ b/tests/test_coordination/test_watch.py
@@ -0,0 +1,175 @@
+"""How entry VMs that are no hubs learn from hubs what the store holds."""
+
+import asyncio
+
+from greengageshunt import application, config, errors, model
+from greengageshunt.coordination import records, view, watch
+from greengageshunt.membership import view as member_view
+
+DOMAINS = "abcd"
+
+
+class _Links:
+    """Heartbeat values and requests between the entry VMs of one test."""
+
+    def __init__(self, *, watches: dict[str, watch.StoreWatch]) -> None:
+        self._watches = watches
+        self.requests: list[tuple[str, records.CopyRequest]] = []
+
+    def add_extra(self, name, source, sink, **options) -> None:
+        """Accept a value; tests pass reports on by themselves."""
+
+    async def request(self, vm, message, timeout):
+        """Answer as the peer's server does."""
+        self.requests.append((vm, message))
+        return await self._watches[vm]._answer_copy(message, 0.0)
+
+
+class _Server:
+    def add_handler(self, kind, handler) -> None:
+        """Accept a handler."""
+
+
+class _Store:
+    """Counts reads; holds nothing."""
+
+    def __init__(self) -> None:
+        self.reads: list[records.Section] = []
+
+    async def read(self, section):
+        """Fail, as a store that is down."""
+        self.reads.append(section)
+        raise errors.PlatformError("down", step="read", peer="store", effect_unknown=False)
+
+
+class Fleet:
+    """Sixty entry VMs by name, of which some have a copy of the store."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.members = tuple(
+            model.Member(vm=f"{domain}-{index}", failure_domain=domain, peer_address="127.0.0.1:1")
+            for domain in DOMAINS
+            for index in range(15)
+        )
+        self.watches: dict[str, watch.StoreWatch] = {}
+        self.links: dict[str, _Links] = {}
+        self.stores: dict[str, _Store] = {}
+        self.views: dict[str, view.StoreView] = {}
+        probe = member_view.MemberView(me=self.members[0], clock=lambda: 0.0, sparse=True)
+        probe.replace(self.members)
+        self.hubs = probe.hubs
+        self.plain = next(
+            member
+            for member in self.members
+            if member.failure_domain == "a" and member not in self.hubs
+        )
+
+    def add(self, member: model.Member) -> view.StoreView:
+        """Build the watch of one entry VM; return its copy of the store."""
+        app = application.Application(name=member.vm, clock=lambda: self.now)
+        seen = member_view.MemberView(me=member, clock=app.clock, sparse=True)
+        seen.replace(self.members)
+        store, links = _Store(), _Links(watches=self.watches)
+        app.add_part("platform", "table", lambda app: store)
+        app.add_part("membership", "view", lambda app: seen)
+        app.add_part("configuration", "state", lambda app: None)
+        app.add_part("peers", "links", lambda app: links)
+        app.add_part("peers", "server", lambda app: _Server())
+        view.setup(app)
+        watch.setup(app)
+        values = {
+            "parts.platform": "table",
+            "store.configuration_wait": 1.0,
+            "store.targets_wait": 1.0,
+            "store.control_wait": 1.0,
+        }
+        app.configure(config.Settings(values=values, source="test"))
+        self.watches[member.vm] = app.part("coordination", "watch")
+        self.links[member.vm], self.stores[member.vm] = links, store
+        self.views[member.vm] = app.part("coordination", "view")
+        return self.views[member.vm]
+
+    def write(self, vm: str, version: int, *, rows=(), removed=()) -> None:
+        """Let the store's feed tell one entry VM of changes."""
+        changed = tuple(
+            records.ControlRow(key=f"other/{key}", version=at, value="{}") for key, at in rows
+        )
+        changes = records.Changes(
+            whole=False,
+            rows=changed,
+            removed=tuple(f"other/{key}" for key in removed),
+            version=version,
+            as_of=self.now,
+        )
+        self.views[vm].apply(records.Section.CONTROL, changes, "store")
+
+    async def report(self, source: str, to: str) -> None:
+        """Pass a heartbeat's report on, and let what it starts end."""
+        self.watches[to]._note_report(source, self.watches[source]._report(), self.now)
+        while self.watches[to]._copying:  # noqa: ASYNC110 - copies have no event
+            await asyncio.sleep(0)
+
+
+def _shown(copy: view.Copy) -> dict[str, int]:
+    return {key: row.version for key, row in copy.rows.items()}
+
+
+async def test_changed_rows_alone_are_copied():
+    """Guards against the whole control table in each answer, of which rows are many."""
+    fleet = Fleet()
+    hub = next(hub for hub in fleet.hubs if hub.failure_domain == "a")
+    theirs, mine = fleet.add(hub), fleet.add(fleet.plain)
+    fleet.write(hub.vm, 5, rows=[("x", 4), ("y", 5)])
+    await fleet.report(hub.vm, fleet.plain.vm)
+    fleet.write(hub.vm, 9, rows=[("y", 9)])
+    await fleet.report(hub.vm, fleet.plain.vm)
+    asked = [message.after for _, message in fleet.links[fleet.plain.vm].requests]
+    assert asked == [0, 5]
+    control = records.Section.CONTROL
+    assert (
+        _shown(mine.copy(control)) == _shown(theirs.copy(control)) == {"other/x": 4, "other/y": 9}
+    )
+
+
+async def test_removed_rows_are_noticed():
+    """Guards against a row that stays in a copy because changed rows do not show its removal."""
+    fleet = Fleet()
+    hub = next(hub for hub in fleet.hubs if hub.failure_domain == "a")
+    fleet.add(hub)
+    mine = fleet.add(fleet.plain)
+    fleet.write(hub.vm, 5, rows=[("x", 4), ("y", 5)])
+    await fleet.report(hub.vm, fleet.plain.vm)
+    fleet.write(hub.vm, 8, rows=[("z", 8)], removed=["x"])
+    await fleet.report(hub.vm, fleet.plain.vm)
+    assert _shown(mine.copy(records.Section.CONTROL)) == {"other/y": 5, "other/z": 8}
+
+
+async def test_copies_come_from_the_own_domain_while_a_hub_there_answers():
+    """Guards against bytes between failure domains for what a hub nearby knows."""
+    fleet = Fleet()
+    near = next(hub for hub in fleet.hubs if hub.failure_domain == "a")
+    far = next(hub for hub in fleet.hubs if hub.failure_domain == "b")
+    for member in (near, far, fleet.plain):
+        fleet.add(member)
+    fleet.write(far.vm, 5, rows=[("x", 5)])
+    await fleet.report(far.vm, fleet.plain.vm)
+    assert not fleet.links[fleet.plain.vm].requests
+    fleet.now += 60.0
+    await fleet.report(far.vm, fleet.plain.vm)
+    assert fleet.links[fleet.plain.vm].requests
+
+
+async def test_store_is_not_called_while_hubs_confirm():
+    """Guards against calls of all entry VMs for each change, and against none if hubs fail."""
+    fleet = Fleet()
+    hub = next(hub for hub in fleet.hubs if hub.failure_domain == "a")
+    fleet.add(hub)
+    fleet.add(fleet.plain)
+    fleet.write(hub.vm, 5, rows=[("x", 5)])
+    await fleet.report(hub.vm, fleet.plain.vm)
+    mine = fleet.watches[fleet.plain.vm]
+    assert mine._served_by_hubs(records.Section.CONTROL)
+    assert not fleet.watches[hub.vm]._served_by_hubs(records.Section.CONTROL)
+    fleet.now += watch.CONFIRMED_BY_HUBS[records.Section.CONTROL] + 0.1
+    assert not mine._served_by_hubs(records.Section.CONTROL)
--- a/tests/test_pooling/test_pool.py
+++ b/tests/test_pooling/test_pool.py
@@ -1,6 +1,7 @@
 """Connections to one target, lent to statements of several client accounts."""
 
 import asyncio
+import math
 import random
 
 import pytest
@@ -64,9 +65,14 @@
         return FakeConnection(self, account)
 
 
-def _pool(driver: FakeDriver, limit: int = 2) -> pool.TargetPool:
-    clock = asyncio.get_running_loop().time
-    return pool.TargetPool(entry=ENTRY, driver=driver, limit=lambda: limit, clock=clock)
+def _pool(driver: FakeDriver, limit: int = 2, idle_limit: float = math.inf) -> pool.TargetPool:
+    return pool.TargetPool(
+        entry=ENTRY,
+        driver=driver,
+        limit=lambda: limit,
+        idle_limit=lambda: idle_limit,
+        clock=asyncio.get_running_loop().time,
+    )
 
 
 async def _acquire(tested: pool.TargetPool, account: str, seconds: float = 1.0):
@@ -162,3 +168,18 @@
     tested.close_idle()
     assert driver.peak <= 3
     assert tested.waiting == 0
+
+
+async def test_shared_connection_is_closed_when_it_is_not_used():
+    """Guards against entry VMs that keep the few connections of a target from each other."""
+    driver = FakeDriver()
+    target_pool = _pool(driver, idle_limit=0.05)
+    now = asyncio.get_running_loop().time
+    connection = await target_pool.acquire("one", {}, 1, now() + 1)
+    target_pool.release(connection)
+    assert await target_pool.acquire("one", {}, 1, now() + 1) is connection
+    await asyncio.sleep(0.1)
+    assert not connection.closed
+    target_pool.release(connection)
+    await asyncio.sleep(0.1)
+    assert connection.closed and not target_pool.open
