Slow the periodic work of entry VMs that are no hubs, and write log lines only when there are some

Change: timers of the isolation check, of the reconciliation of links and of the promoter run at half the pace or less beside hubs; the log writer sleeps until a line waits.

--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -21,6 +21,9 @@
 
 CHECK_INTERVAL = 0.2  # seconds
 
+# Seconds between looks at whether an entry VM has become a hub; only hubs change primaries.
+ROLE_INTERVAL = 1.0
+
 RECALL_TIMEOUT = 0.5  # seconds
 RECALL_INTERVAL = 0.2  # seconds between requests to entry VMs that did not answer
 STATUS_TIMEOUT = 0.4  # seconds
@@ -103,7 +106,7 @@
                         running[group] = asyncio.create_task(
                             self._check(group), name=f"primary of {group}"
                         )
-                await asyncio.sleep(CHECK_INTERVAL)
+                await asyncio.sleep(CHECK_INTERVAL if self._members.is_hub else ROLE_INTERVAL)
         finally:
             for task in running.values():
                 task.cancel()
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -20,7 +20,7 @@
 
 COPY_TIMEOUT = 0.5  # seconds
 
-EXPIRY_INTERVAL = 0.25  # seconds
+EXPIRY_INTERVAL = 0.5  # seconds
 
 # Seconds without a confirmation after which an entry VM that is no hub reads a section itself. Hubs
 # confirm the control table each time their watch ends or a heartbeat is answered, and the
@@ -31,7 +31,7 @@
 }
 
 # Seconds between looks at whether hubs still confirm a section.
-HUB_INTERVAL = 0.25
+HUB_INTERVAL = 0.5
 
 # Seconds for which the store may hold a call of an entry VM that is no hub; it allows 30.
 WAIT_BESIDE_HUBS = 25.0
--- a/src/greengageshunt/logs.py
+++ b/src/greengageshunt/logs.py
@@ -26,7 +26,8 @@
 
 BUFFER_LIMIT = 2**20  # bytes that wait for the reader of standard output
 
-FLUSH_INTERVAL = 0.1  # seconds
+# Seconds for which lines are gathered before they are written.
+FLUSH_INTERVAL = 0.1
 
 # Bytes that a pipe takes without blocking once it is reported as writable.
 PIPE_CHUNK = select.PIPE_BUF
@@ -66,6 +67,12 @@
         self._failed = _LineBudget(rate=FAILED_RATE)
         self._dropped = 0
         self._reported = 0
+        self._pending = asyncio.Event()
+
+    @property
+    def pending(self) -> asyncio.Event:
+        """Set while lines wait, or were left out and that was not written yet."""
+        return self._pending
 
     @property
     def dropped(self) -> int:
@@ -75,6 +82,7 @@
     def emit(self, record: logging.LogRecord) -> None:
         """Format a record and keep its line, within the rate and the size."""
         budget = self._failed if record.levelno >= logging.WARNING else self._served
+        self._pending.set()
         if not budget.take(time.monotonic()):
             self._dropped += 1
             return
@@ -104,6 +112,7 @@
                 self._lines.appendleft(bytes(chunk))
                 return
             self._size -= len(chunk)
+        self._pending.clear()
 
     def _append(self, line: bytes) -> None:
         if self._size + len(line) > BUFFER_LIMIT:
@@ -170,6 +179,7 @@
     """Write waiting lines until cancelled."""
     try:
         while True:
+            await handler.pending.wait()
             handler.write_pending()
             await asyncio.sleep(FLUSH_INTERVAL)
     finally:
--- a/src/greengageshunt/membership/view.py
+++ b/src/greengageshunt/membership/view.py
@@ -12,7 +12,7 @@
 LONGEST_EXCUSE = 3.0
 
 
-# Heartbeats between a hub and another entry VM are slower by this factor.
+# Heartbeats and periodic work of an entry VM that is no hub are slower by this factor.
 SLOW_PACE = 2.0
 
 
@@ -160,8 +160,12 @@
 
         Heartbeats of entry VMs that are no hubs are most of all where there are many.
         """
-        between_hubs = self.is_hub and self._members.get(vm) in self._hubs
-        return 1.0 if between_hubs else SLOW_PACE
+        return self.own_pace if self._members.get(vm) in self._hubs else SLOW_PACE
+
+    @property
+    def own_pace(self) -> float:
+        """By how much the periodic work of an entry VM that is no hub is slower."""
+        return 1.0 if self.is_hub else SLOW_PACE
 
     def live(self, now: float) -> tuple[model.Member, ...]:
         """Return the members that answer and are not leaving."""
--- a/src/greengageshunt/peers/links.py
+++ b/src/greengageshunt/peers/links.py
@@ -97,12 +97,13 @@
         try:
             while True:
                 now = self._app.clock()
-                if now - reconciled_at > PAUSE_LIMIT:
+                pace = self._view.own_pace
+                if now - reconciled_at > PAUSE_LIMIT * pace:
                     logger.warning("process was paused", extra={"seconds": now - reconciled_at})
                     self._view.excuse_silence(reconciled_at, now)
                 reconciled_at = now
                 self._reconcile()
-                await asyncio.sleep(RECONCILE_INTERVAL)
+                await asyncio.sleep(RECONCILE_INTERVAL * pace)
         finally:
             for task in self._tasks.values():
                 task.cancel()
--- a/src/greengageshunt/platform/frontend.py
+++ b/src/greengageshunt/platform/frontend.py
@@ -81,11 +81,12 @@
         entry VM is not ready.
         """
         isolation = self._app.part("coordination", "isolation")
+        members = self._app.part("membership", "view")
         while True:
             if isolation.isolated_for(self._app.clock()) > ROTATION_DELAY:
                 for client in tuple(self._clients):
                     client.close_if_idle()
-            await asyncio.sleep(ISOLATION_INTERVAL)
+            await asyncio.sleep(ISOLATION_INTERVAL * members.own_pace)
 
     async def stop(self) -> None:
         """Let operations end, and close the sessions between them."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,19 +10,27 @@
 from collections import abc
 from typing import TYPE_CHECKING
 
+from support import entry_fleet
+
 if TYPE_CHECKING:
     from soak import world as world_module
 
 Fault = abc.Callable[["world_module.World", random.Random], abc.Awaitable[None]]
 
 
+def _start(vm: entry_fleet.EntryVm) -> None:
+    """Start a process, unless an overlapping fault has started it again already."""
+    if vm.process.poll() is not None:
+        vm.start()
+
+
 async def kill_entry_vm(world: "world_module.World", rng: random.Random) -> None:
     """Kill a process, and start it again after a while."""
     vm = rng.choice(world.fleet.vms)
     vm.signal(signal.SIGKILL)
     await asyncio.to_thread(vm.process.wait)
     await asyncio.sleep(rng.choice((0.0, 0.5, 3.0)))
-    vm.start()
+    _start(vm)
 
 
 async def kill_all_entry_vms(world: "world_module.World", rng: random.Random) -> None:
@@ -33,7 +41,7 @@
         await asyncio.to_thread(vm.process.wait)
     await asyncio.sleep(rng.uniform(0, 1))
     for vm in world.fleet.vms:
-        vm.start()
+        _start(vm)
 
 
 async def stop_entry_vm(world: "world_module.World", rng: random.Random) -> None:
@@ -44,7 +52,7 @@
     # Another fault may have killed it meanwhile.
     if code not in (0, -signal.SIGKILL):
         world.book.broken.append(f"STOP: {vm.name} ended with {code}")
-    vm.start()
+    _start(vm)
 
 
 async def pause_entry_vm(world: "world_module.World", rng: random.Random) -> None:
