--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -212,13 +213,15 @@
         return 0
 
 
+_STATEMENT_IDS = itertools.count(1)
+
+
 class Caller:
     """One session of a caller."""
 
     def __init__(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._reader = reader
         self._writer = writer
-        self._count = 0
 
     @classmethod
     async def open(cls, vm: EntryVm, database: str, key: str) -> "Caller":
@@ -234,9 +237,8 @@
         return cls(reader=reader, writer=writer)
 
     def next_id(self) -> str:
-        """Return an id for a statement."""
-        self._count += 1
-        return f"q{id(self) % 10**6:x}{self._count:04x}"
+        """Return an id for a statement; no two callers use the same."""
+        return f"q{next(_STATEMENT_IDS):08x}"
 
     async def run(self, text: str, statement_id: str = "") -> tuple[list[str], str]:
         """Run a statement; return its rows with the last line, and the state."""
