--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -129,10 +129,12 @@
             name=GROUP, targets=("t-1", "t-2", "t-3"), connection_limit=16
         )
         self.store_port = free_port()
+        # The port of peers is the same on all entry VMs, so fleets of other runs need other hosts.
+        network = f"127.{os.getpid() % 250 + 1}.{next(_FLEETS) % 250}"
         self.vms = [
             EntryVm(
                 name=f"vm-{index}",
-                host=f"127.0.0.{20 + index}",
+                host=f"{network}.{20 + index}",
                 folder=folder,
                 store_port=store_ports[index] if store_ports else self.store_port,
                 zone=zones[index % len(zones)],
@@ -213,6 +215,8 @@
         return 0
 
 
+_FLEETS = itertools.count()
+
 _STATEMENT_IDS = itertools.count(1)
 
 
