--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -9,7 +9,7 @@
 from returns import result
 
 from greengageshunt import errors, logs, model
-from greengageshunt.pooling import execution, identity, reports, statements
+from greengageshunt.pooling import execution, identity, outcomes, reports, statements
 
 logger = logging.getLogger(__name__)
 
@@ -257,14 +257,13 @@
         self, transaction: Transaction, shapes: tuple[str, ...], received_at: float
     ) -> errors.Refusal | None:
         """Make sure that the transaction holds a connection; return why it cannot."""
-        deadline = received_at + transaction.operation.database.statement_timeout
         if transaction.placement is not None:
             try:
                 await transaction.placement.connection.set_up(
                     self._values, shapes, execution.SETUP_TIMEOUT
                 )
             except errors.TargetError as error:
-                return identity.refusal(
+                return outcomes.refusal_of(
                     statements.Code.ABORTED, str(error), step=error.step, peer=error.peer
                 )
             return None
@@ -283,36 +282,12 @@
                 statement=begin,
                 received_at=received_at,
             )
-            try:
-                answer = await placement.connection.run(
-                    begin.id,
-                    begin.text,
-                    timeout=max(0.0, deadline - self._host.clock()),
-                    after=placement.after,
-                )
-            except errors.TargetError as error:
-                self._host.executor.note_failure(placement)
-                answer = None
-                refused = identity.refusal(
-                    statements.Code.BUSY,
-                    str(error),
-                    step="begin",
-                    peer=error.peer,
-                    retry_after=identity.BUSY_RETRY_AFTER,
-                )
-            else:
-                self._host.executor.note_answer(transaction.operation, placement, answer)
-                if not answer.code:
-                    transaction.placement = placement
-                    self._log(attempt, "ok")
-                    return None
-                refused = identity.refusal(
-                    statements.Code.BUSY,
-                    f"{answer.code} {answer.message}",
-                    step="begin",
-                    peer=placement.target,
-                    retry_after=identity.BUSY_RETRY_AFTER,
-                )
+            answer = await self._run_on(attempt, begin.text, False, after=placement.after)
+            if isinstance(answer, statements.TargetAnswer) and not answer.code:
+                transaction.placement = placement
+                self._log(attempt, "ok")
+                return None
+            refused = outcomes.begin_refusal(answer, placement.target)
             placement.pool.release(placement.connection)
             tried.add(placement.target)
             self._log(attempt, refused.message)
@@ -398,7 +373,8 @@
         statement, placement = attempt.statement, attempt.placement
         writes = self._writes(statement)
         try:
-            answer = await self._run_on(attempt, self._text(statement, placement), writes)
+            text = self._text(statement, placement)
+            answer = await self._run_on(attempt, text, writes, after=placement.after)
         finally:
             placement.pool.release(placement.connection)
         if isinstance(answer, statements.TargetAnswer):
@@ -432,13 +408,20 @@
         attempt: Attempt,
         text: str,
         writes: bool,
+        *,
+        after: model.Position | None = None,
     ) -> statements.TargetAnswer | errors.TargetError:
-        """Run a statement on a connection; an error without an answer is returned."""
+        """Run a statement on a connection; an error without an answer is returned.
+
+        Args:
+            attempt: The statement and its connection.
+            text: Text for the target.
+            writes: Whether it may take effect.
+            after: Position that the target must contain, or None.
+        """
         executor = self._host.executor
         operation, placement = attempt.operation, attempt.placement
         deadline = attempt.received_at + operation.database.statement_timeout
-        # Reads inside a transaction follow the position that its start required.
-        after = placement.after if self._transaction is None else None
         if writes:
             executor.begin_write(operation.database.group)
         try:
@@ -477,15 +460,11 @@
         attempt: Attempt,
     ) -> statements.CallerAnswer:
         """Return the answer to a statement whose connection broke or gave no answer."""
-        if self._transaction is not None:
-            # The target rolls back what is open on a closed connection.
-            code = statements.Code.ABORTED
-        elif self._writes(attempt.statement):
-            code = statements.Code.INDOUBT
-        elif error.code == statements.Code.TIMEOUT:
-            code = statements.Code.TIMEOUT
-        else:
-            code = statements.Code.BUSY
+        code = outcomes.broken_code(
+            error,
+            in_transaction=self._transaction is not None,
+            writes=self._writes(attempt.statement),
+        )
         self._log(attempt, code, str(error))
         return self._refuse(code, str(error), error.step, error.peer)
 
@@ -496,21 +475,8 @@
     ) -> statements.CallerAnswer:
         """Return the answer to a statement that its target refused or failed."""
         self._log(attempt, answer.code, answer.message)
-        known = answer.code in set(statements.Code)
-        code = statements.Code(answer.code) if known else statements.Code.FAILED
-        if code is statements.Code.NO_STATEMENT:
-            code = statements.Code.BUSY
-        retry_after = identity.BUSY_RETRY_AFTER if code in statements.NOT_RUN else None
-        step = "refused by target" if code in statements.NOT_RUN else "target"
-        return statements.CallerAnswer(
-            refusal=identity.refusal(
-                code,
-                answer.message,
-                step=step,
-                peer=attempt.placement.target,
-                retry_after=retry_after,
-            )
-        )
+        refused = outcomes.target_refusal(answer, attempt.placement.target)
+        return statements.CallerAnswer(refusal=refused)
 
     async def _place(
         self,
@@ -536,15 +502,10 @@
                 waited=self._host.clock() - received_at,
                 outcome="BUSY",
             )
-            return result.Failure(
-                identity.refusal(
-                    statements.Code.BUSY,
-                    str(error),
-                    step="place",
-                    peer=error.peer,
-                    retry_after=identity.BUSY_RETRY_AFTER,
-                )
+            refused = outcomes.refusal_of(
+                statements.Code.BUSY, str(error), step="place", peer=error.peer
             )
+            return result.Failure(refused)
         return result.Success(placement)
 
     async def _fail(self, transaction: Transaction) -> None:
@@ -585,10 +546,8 @@
     def _refuse(
         self, code: statements.Code, message: str, step: str, peer: str = ""
     ) -> statements.CallerAnswer:
-        retry_after = identity.BUSY_RETRY_AFTER if code in statements.NOT_RUN else None
-        return statements.CallerAnswer(
-            refusal=identity.refusal(code, message, step=step, peer=peer, retry_after=retry_after)
-        )
+        refused = outcomes.refusal_of(code, message, step=step, peer=peer)
+        return statements.CallerAnswer(refusal=refused)
 
     def _log(self, attempt: Attempt, outcome: str, reason: str = "") -> None:
         operation, placement = attempt.operation, attempt.placement
