--- a/src/greengageshunt/metrics/entry.py
+++ b/src/greengageshunt/metrics/entry.py
@@ -75,6 +75,7 @@
             "control_age_seconds": now - self._view.copy(records.Section.CONTROL).as_of,
             "members": len(self._members.members),
             "members_live": len(self._members.live(now)),
+            "hub": float(self._members.is_hub),
             "sessions": self._frontend.connections,
         }
         for name, value in simple.items():
