Notice a cut by failing targets, and leave callers once the balancer has heard of it

Change: 0.6 s of silence suffice while two targets elsewhere fail, and idle sessions are closed as soon as the readiness page has refused twice in a row. Connections beyond half of the even part are closed after 1 s without use, so that targets have room for entry VMs that return from a loss of power.

--- a/src/greengageshunt/coordination/isolation.py
+++ b/src/greengageshunt/coordination/isolation.py
@@ -13,7 +13,16 @@
 SILENCE = 1.1
 
 
-def decide(*, peers_at: float, targets_at: float, now: float, pace: float = 1.0) -> bool:
+# Seconds of silence that suffice while targets fail: one attempt to connect, and a half.
+SILENCE_WITH_FAILURES = 0.6
+
+# Targets in other failure domains that must fail; a single one may have crashed.
+FAILING_TARGETS = 2
+
+
+def decide(
+    *, peers_at: float, targets_at: float, now: float, pace: float = 1.0, failing: int = 0
+) -> bool:
     """Return whether an entry VM is cut off.
 
     Args:
@@ -22,10 +31,13 @@
         targets_at: The same for targets.
         now: Monotonic seconds.
         pace: Factor by which heartbeats are slower.
+        failing: Targets in other failure domains that failed since their last answer.
     """
     if peers_at == math.inf:
         return False
     newest = peers_at if targets_at == math.inf else max(peers_at, targets_at)
+    if failing >= FAILING_TARGETS:
+        return now - newest > SILENCE_WITH_FAILURES
     return now - newest > SILENCE * pace
 
 
@@ -44,9 +56,9 @@
         domain = self._members.me.failure_domain
         remote = [peer.vm for peer in self._members.neighbours if peer.failure_domain != domain]
         answered = [self._members.answered_at(vm) for vm in remote]
-        served = [
-            pool.answered_at for pool in self._pools.all if pool.entry.failure_domain != domain
-        ]
+        pools = [pool for pool in self._pools.all if pool.entry.failure_domain != domain]
+        served = [pool.answered_at for pool in pools]
+        failing = sum(pool.failures > 0 for pool in pools)
         peers_at = max(answered, default=math.inf)
         targets_at = max(served, default=math.inf)
         cut = decide(
@@ -54,6 +66,7 @@
             targets_at=targets_at,
             now=now,
             pace=max(map(self._members.pace, remote), default=1.0),
+            failing=failing,
         )
         if cut != (self._since is not None):
             self._since = now if cut else None
@@ -63,6 +76,7 @@
                 isolated=cut,
                 peers_age=round(now - peers_at, 3),
                 targets_age=round(now - targets_at, 3),
+                failing_targets=failing,
             )
         return now - self._since if self._since is not None else 0.0
 
--- a/src/greengageshunt/frontends/readiness.py
+++ b/src/greengageshunt/frontends/readiness.py
@@ -64,6 +64,12 @@
         self._started_at = app.clock()
         self._was_registered = False
         self._told: tuple[bool, str] | None = None
+        self._refusals = 0
+
+    @property
+    def refusals(self) -> int:
+        """Answers in a row by which the balancer was told not to send callers."""
+        return self._refusals
 
     async def run(self) -> None:
         """Serve the page until cancelled."""
@@ -83,6 +89,7 @@
             targets=len(copy.rows),
             age=age,
         )
+        self._refusals = 0 if ready else self._refusals + 1
         if told != self._told:
             self._told = told
             logs.log_decision(
@@ -107,4 +114,5 @@
             check=config.is_address,
         )
     )
-    app.add_part("service", "readiness", lambda app: Readiness(app=app))
+    app.add_part("frontend", "readiness", lambda app: Readiness(app=app))
+    app.add_part("service", "readiness", lambda app: app.part("frontend", "readiness"))
--- a/src/greengageshunt/platform/frontend.py
+++ b/src/greengageshunt/platform/frontend.py
@@ -21,6 +21,9 @@
 # second apart, and the time for the second one.
 ROTATION_DELAY = 2.3
 
+# Refusals after which the balancer sends no new connections.
+ROTATION_REFUSALS = 2
+
 # Seconds between looks at sessions that may be closed.
 CLOSE_INTERVAL = 0.05
 
@@ -82,8 +85,11 @@
         """
         isolation = self._app.part("coordination", "isolation")
         members = self._app.part("membership", "view")
+        readiness = self._app.part("frontend", "readiness")
         while True:
-            if isolation.isolated_for(self._app.clock()) > ROTATION_DELAY:
+            isolated_for = isolation.isolated_for(self._app.clock())
+            rotated = readiness.refusals >= ROTATION_REFUSALS or isolated_for > ROTATION_DELAY
+            if isolated_for and rotated:
                 for client in tuple(self._clients):
                     client.close_if_idle()
             await asyncio.sleep(ISOLATION_INTERVAL * members.own_pace)
--- a/src/greengageshunt/pooling/pool.py
+++ b/src/greengageshunt/pooling/pool.py
@@ -61,7 +61,7 @@
         driver: Any,
         limit: abc.Callable[[], int],
         clock: clock_module.Clock,
-        idle_limit: abc.Callable[[], float] = lambda: math.inf,
+        idle_limit: abc.Callable[[int], float] = lambda opened: math.inf,
     ) -> None:
         self._entry = entry
         self._driver = driver
@@ -207,14 +207,15 @@
 
     def _keep_idle(self, connection: Any) -> None:
         self._idle.append(connection)
-        limit = self._idle_limit()
+        limit = self._idle_limit(self._open)
         if limit < math.inf:
             loop = asyncio.get_running_loop()
             loop.call_later(limit, self._close_unused, connection, connection.used_at)
 
     def _close_unused(self, connection: Any, used_at: float) -> None:
-        """Close a connection that was not used since it became idle."""
-        if connection.used_at == used_at and connection in self._idle:
+        """Close a connection that was not used since it became idle, if it may still go."""
+        unused = connection.used_at == used_at and connection in self._idle
+        if unused and self._idle_limit(self._open) < math.inf:
             self._idle.remove(connection)
             self._drop(connection)
 
--- a/src/greengageshunt/pooling/pools.py
+++ b/src/greengageshunt/pooling/pools.py
@@ -19,6 +19,13 @@
 # Seconds for which a shared connection stays open without use; then others may have its place.
 SHARED_IDLE_LIMIT = 0.3
 
+# Part of its connections that an entry VM keeps open without use. Connections of machines that
+# lost power count at a target for 3 s more; the rest of its limit lets them return before.
+KEPT_PART = 0.5
+
+# Seconds for which further connections stay open without use.
+SPARE_IDLE_LIMIT = 1.0
+
 
 class TargetPools:
     """Keeps one pool for each listed target."""
@@ -45,7 +52,7 @@
                 entry=entry,
                 driver=self._driver,
                 limit=lambda: self._limit(entry.group),
-                idle_limit=lambda: self._idle_limit(entry.group),
+                idle_limit=lambda opened: self._idle_limit(entry.group, opened),
                 clock=self._app.clock,
             )
             self._pools[entry.target] = known
@@ -62,9 +69,17 @@
             return part
         return SHARED_LIMIT
 
-    def _idle_limit(self, group: str) -> float:
-        shared = self._even_part(group) < SMALLEST_PART and not self._members.full_mesh
-        return SHARED_IDLE_LIMIT if shared else math.inf
+    def _idle_limit(self, group: str, opened: int) -> float:
+        """Return the seconds for which a connection may stay open without use.
+
+        Args:
+            group: Group of the target.
+            opened: Connections that are open to the target.
+        """
+        part = self._even_part(group)
+        if part < SMALLEST_PART and not self._members.full_mesh:
+            return SHARED_IDLE_LIMIT
+        return SPARE_IDLE_LIMIT if opened > math.ceil(part * KEPT_PART) else math.inf
 
     def _update(self, entries: tuple[records.TargetEntry, ...]) -> None:
         listed = {entry.target: entry for entry in entries}
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -75,6 +75,7 @@
         self.path = folder / f"{name}.conf"
         self.log = folder / f"{name}.log"
         self.process: subprocess.Popen | None = None
+        self._log_start = 0
         fields = {
             "node-name": name,
             "zone": zone,
@@ -90,6 +91,7 @@
 
     def start(self) -> None:
         """Start the process."""
+        self._log_start = self.log.stat().st_size if self.log.exists() else 0
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "greengageshunt.programs.entry"],
@@ -103,6 +105,11 @@
         assert self.process is not None
         self.process.send_signal(number)
 
+    @property
+    def handles_signals(self) -> bool:
+        """Whether the newest process has come so far that it handles signals."""
+        return b'"starting"' in self.log.read_bytes()[self._log_start :]
+
     def lines(self, message: str = "") -> list[dict]:
         """Return the log lines, all or those with one message."""
         found = []
--- a/tests/test_coordination/test_isolation.py
+++ b/tests/test_coordination/test_isolation.py
@@ -23,3 +23,10 @@
 def test_single_domain_is_never_cut():
     """Guards against a deployment of one failure domain that is never ready."""
     assert not _cut(now=99.0, peers_at=math.inf, targets_at=math.inf)
+
+
+def test_failing_targets_show_a_cut_earlier():
+    """Guards against callers that wait for heartbeats to time out while all targets fail."""
+    assert _cut(now=10.7, failing=2)
+    assert not _cut(now=10.7, failing=1)
+    assert not _cut(now=10.7, failing=5, peers_at=10.3)
