--- a/src/greengageshunt/peers/links.py
+++ b/src/greengageshunt/peers/links.py
@@ -86,7 +86,7 @@
             peer = self._view.member(vm)
             if peer is None or vm == self._view.me.vm:
                 raise errors.PeerError("unknown peer", step="request", peer=vm, sent=False)
-            peer_link = self._open(peer, heartbeats=False)
+            peer_link = self._open(peer, heartbeats=peer in self._view.neighbours)
         self._used_at[vm] = now
         await peer_link.wait_connected(timeout)
         return await peer_link.request(message, timeout - (self._app.clock() - now))
@@ -135,6 +135,7 @@
             if not keep:
                 self._tasks.pop(vm).cancel()
                 del self._links[vm]
+                self._used_at.pop(vm, None)
         for vm, peer in wanted.items():
             if vm not in self._links:
                 self._open(peer, heartbeats=True)
