--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -22,7 +22,7 @@
 CHECK_INTERVAL = 0.2  # seconds
 
 # Seconds between looks at whether an entry VM has become a hub; only hubs change primaries.
-ROLE_INTERVAL = 1.0
+ROLE_INTERVAL = 2.0
 
 RECALL_TIMEOUT = 0.5  # seconds
 RECALL_INTERVAL = 0.2  # seconds between requests to entry VMs that did not answer
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -31,7 +31,7 @@
 }
 
 # Seconds between looks at whether hubs still confirm a section.
-HUB_INTERVAL = 0.5
+HUB_INTERVAL = 1.0
 
 # Seconds for which the store may hold a call of an entry VM that is no hub; it allows 30.
 WAIT_BESIDE_HUBS = 25.0
--- a/src/greengageshunt/metrics/entry.py
+++ b/src/greengageshunt/metrics/entry.py
@@ -15,7 +15,7 @@
 
 PREFIX = families.PREFIX
 
-LAG_INTERVAL = 1.0  # seconds between samples of the event loop's lag
+LAG_INTERVAL = 2.0  # seconds between samples of the event loop's lag
 
 
 class EntryCollector:
