--- a/tests/test_soak/test_soak.py
+++ b/tests/test_soak/test_soak.py
@@ -6,7 +6,7 @@
 
 SECONDS = 8.0  # seconds of faults in a run
 
-# Seeds that failed in longer runs, with the cause; all but that of 124 were faults of the soak itself.
+# Seeds that failed in longer runs, with the cause; all but 124 were faults of the soak itself.
 REGRESSIONS = {
     103: "two overlapping faults started one entry VM twice",
     112: "two callers used the same statement ids",
