Take ports of the stand-ins from outside the range of outgoing connections

The port came from the range of outgoing connections, and a relay or another process took it between its choice and its start. Change: listeners use 20000 to 31999, each test process from another place on.

--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -27,11 +28,26 @@
 }
 
 
+# Ports of listeners, below those that Linux gives to outgoing connections by default: one of these
+# could take a port between the look at it and the start of its listener.
+LISTENER_PORTS = range(20000, 32000)
+
+# Each test process begins at another place.
+_ports = itertools.cycle(LISTENER_PORTS)
+for _ in range(random.SystemRandom().randrange(len(LISTENER_PORTS))):
+    next(_ports)
+
+
 def free_port(host: str = "127.0.0.1") -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+    """Return a port that is free now, and that no other call returns soon."""
+    for port in itertools.islice(_ports, len(LISTENER_PORTS)):
+        with socket.socket() as probe:
+            try:
+                probe.bind((host, port))
+            except OSError:
+                continue
+            return port
+    raise OSError("no free port")
 
 
 def configuration(version: int, *, keys: abc.Mapping[str, list[str]], rate: float = 1000) -> dict:
--- a/tests/test_soak/test_soak.py
+++ b/tests/test_soak/test_soak.py
@@ -1,8 +1,11 @@
 """Short seeded runs of the soak, and the seeds that ever failed."""
 
+import pathlib
+
 import pytest
 
 from soak import world
+from support import entry_fleet
 
 SECONDS = 8.0  # seconds of faults in a run
 
@@ -22,3 +25,12 @@
     report = await world.World(folder=tmp_path, seed=seed, size=4).run(SECONDS)
     assert not report.violations, report
     assert report.codes["ok"] > 100
+
+
+def test_listeners_use_ports_that_outgoing_connections_do_not():
+    """Guards against a listener whose port was taken between its choice and its start."""
+    text = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text(encoding="ascii")
+    assert entry_fleet.LISTENER_PORTS.stop <= int(text.split()[0])
+    chosen = [entry_fleet.free_port() for _ in range(100)]
+    assert len(set(chosen)) == 100
+    assert set(chosen) <= set(entry_fleet.LISTENER_PORTS)
