Refuse sooner what no target can take, and let one statement at a time try a failed target

Resets of single connections also closed a target for 0.3 s. Change: a statement waits a fifth of its latency goal for a target unless a change of primary is in progress; after a failure one statement tries the target, and those that wait for it go elsewhere when that fails.

--- a/src/greengageshunt/pooling/execution.py
+++ b/src/greengageshunt/pooling/execution.py
@@ -26,12 +26,15 @@
 
 SETUP_TIMEOUT = 0.5  # seconds
 
-# Parts of its time limit for which a statement waits: for a connection, for a target that can
-# serve it, and for a change of primary that is in progress.
+# Parts of its time limit for which a statement waits for a connection, and for a change of
+# primary that is in progress.
 WAIT_FOR_CONNECTION = 0.6
-WAIT_FOR_TARGET = 0.25
 WAIT_FOR_CHANGE = 0.9
 
+# Part of its latency goal for which a statement waits for a target that can serve it. A caller
+# that is refused early can still be served in time by another entry VM.
+WAIT_FOR_TARGET = 0.2
+
 # Seconds that a change of primary usually takes.
 USUAL_CHANGE = 2.5
 
@@ -140,22 +143,23 @@
             NotPlacedError: None could be had in time.
         """
         reason = ""
-        limit = operation.database.statement_timeout
-        deadline = received_at + limit * WAIT_FOR_CONNECTION
+        deadline = received_at + operation.database.statement_timeout * WAIT_FOR_CONNECTION
         while True:
             now = self._app.clock()
-            if now >= deadline:
-                raise NotPlacedError(
-                    reason or "no time left", step="place", peer=operation.database.group
-                )
             chosen, permission = self._choose(operation, tried, now)
             if not chosen.target:
                 reason = permission.reason if not permission.granted else chosen.reason
-                deadline = received_at + limit * self._wait_share(operation, permission, now)
+                until = received_at + self._patience(operation.database, permission, now)
+                deadline = max(deadline, until)
                 tried.clear()
-                if now >= deadline:
-                    continue
-                await asyncio.sleep(min(RETRY_INTERVAL, deadline - now))
+            else:
+                until = deadline
+            if now >= until:
+                raise NotPlacedError(
+                    reason or "no time left", step="place", peer=operation.database.group
+                )
+            if not chosen.target:
+                await asyncio.sleep(min(RETRY_INTERVAL, until - now))
                 continue
             try:
                 placement = await self._acquire(
@@ -169,18 +173,22 @@
                 return placement
             reason = "the primary changed while the statement waited"
 
-    def _wait_share(self, operation: Operation, permission: lease.Permission, now: float) -> float:
-        """Return the part of its time limit for which a statement waits for a target.
+    def _patience(
+        self, database: model.Database, permission: lease.Permission, now: float
+    ) -> float:
+        """Return the seconds for which a statement waits for a target, from its receipt.
 
         A change of primary that everybody has confirmed is over in about a second, so
         waiting for it serves the statement. An end of other causes is not in sight.
         """
-        group = operation.database.group
+        impatient = database.latency_goal * WAIT_FOR_TARGET
         if not permission.changing:
-            self._changing_since.pop(group, None)
-            return WAIT_FOR_TARGET
-        since = self._changing_since.setdefault(group, now)
-        return WAIT_FOR_CHANGE if now - since < USUAL_CHANGE else WAIT_FOR_TARGET
+            self._changing_since.pop(database.group, None)
+            return impatient
+        since = self._changing_since.setdefault(database.group, now)
+        if now - since >= USUAL_CHANGE:
+            return impatient
+        return database.statement_timeout * WAIT_FOR_CHANGE
 
     def note_answer(
         self, operation: Operation, placement: Placement, answer: statements.TargetAnswer
@@ -199,9 +207,12 @@
         mean = known + SLOWNESS_WEIGHT * (seconds - known)
         self._slowness[placement.target] = (mean, now)
 
-    def note_failure(self, placement: Placement) -> None:
+    def note_failure(self, placement: Placement, error: errors.TargetError) -> None:
         """Record that a target broke the connection or gave no answer."""
-        placement.pool.note_failure(self._app.clock())
+        if error.code == statements.Code.TIMEOUT:
+            placement.pool.note_failure(self._app.clock())
+        else:
+            placement.pool.note_broken()
 
     def confirmed(self, placement: Placement) -> bool:
         """Return whether the permission under which a write was sent still lasts."""
--- a/src/greengageshunt/pooling/pool.py
+++ b/src/greengageshunt/pooling/pool.py
@@ -75,6 +75,7 @@
         self._refused_at = -REFUSED_LIMIT_PERIOD
         self._failed_at = -UNREACHABLE_PERIOD
         self._failures = 0
+        self._opening = 0
         self._answered_at = -1.0
         self._opened = 0
 
@@ -121,7 +122,9 @@
         return max(1, allowed)
 
     def reachable(self, now: float) -> bool:
-        """Return whether the target may be tried."""
+        """Return whether the target may be tried; after a failure, by one statement at a time."""
+        if self._failures and self._opening:
+            return False
         return now - self._failed_at >= UNREACHABLE_PERIOD
 
     def has_idle(self, account: str) -> bool:
@@ -136,6 +139,10 @@
     def note_failure(self, now: float) -> None:
         """Record that the target did not answer or cannot be reached."""
         self._failed_at = now
+        self.note_broken()
+
+    def note_broken(self) -> None:
+        """Record that a connection broke; the next one shows whether the target is reached."""
         self._failures += 1
         # What broke one connection may have broken the idle ones, unnoticed.
         self.close_idle()
@@ -165,7 +172,8 @@
 
         Raises:
             PoolBusyError: None came free by the deadline.
-            TargetError: The target cannot be reached, or refused.
+            TargetError: The target cannot be reached, or refused. A statement that waits
+                is told so, too, when another one finds this out.
         """
         found = self._take_idle(account, values)
         if found is not None:
@@ -257,6 +265,7 @@
         """Open a connection in room that is reserved."""
         timeout = min(CONNECT_TIMEOUT, deadline - self._clock())
         self._opened += 1
+        self._opening += 1
         try:
             connection = await self._driver.connect(self._entry, account, timeout)
         except errors.TargetError as error:
@@ -277,14 +286,23 @@
                 open=self._open,
                 reason=str(error),
             )
+            if not error.code:
+                self._send_away(error)
             self._free_room()
             raise
         except BaseException:
             self._free_room()
             raise
+        finally:
+            self._opening -= 1
         self.note_answer(self._clock())
         return connection
 
+    def _send_away(self, error: errors.TargetError) -> None:
+        """End the waiting for a target that cannot be reached; others may serve."""
+        while (waiter := self._next_waiter("")) is not None:
+            waiter.granted.set_exception(error)
+
     def _drop(self, connection: Any) -> None:
         connection.abort()
         self._free_room()
@@ -321,7 +339,8 @@
         """Take back a waiter that gave up; what it was granted meanwhile is freed."""
         if waiter in self._waiters:
             self._waiters.remove(waiter)
-        if waiter.granted.done() and not waiter.granted.cancelled():
+        answered = waiter.granted.done() and not waiter.granted.cancelled()
+        if answered and waiter.granted.exception() is None:
             granted = waiter.granted.result()
             if granted is None:
                 self._free_room()
--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -432,7 +432,7 @@
                 after=after,
             )
         except errors.TargetError as error:
-            executor.note_failure(placement)
+            executor.note_failure(placement, error)
             return error
         finally:
             if writes:
--- a/tests/test_platform/test_entry.py
+++ b/tests/test_platform/test_entry.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import signal
+import statistics
 import time
 
 import pytest
@@ -18,6 +19,10 @@
 # Seconds from SIGTERM to the end of a process: the grace, and the end of the interpreter.
 STOP_BOUND = entry_fleet.GRACE + 2.0
 
+# Seconds within which a statement that no target can take is refused: a quarter of the latency
+# goal, beyond which users count the caller as held back.
+REFUSAL_BOUND = 0.3 / 4
+
 # Seconds within which a withdrawn key stops working, also for connected callers.
 REVOCATION_BOUND = 5.0
 
@@ -110,6 +115,20 @@
     assert tokens == sorted(tokens)
 
 
+async def test_statement_that_no_target_can_take_is_refused_at_once(fleet):
+    """Guards against callers that are held back until they can no longer try elsewhere."""
+    for target in fleet.group.targets.values():
+        await target.stop()
+    caller = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
+    seconds = []
+    for _ in range(9):
+        started = time.monotonic()
+        lines, _ = await caller.run("READ a")
+        seconds.append(time.monotonic() - started)
+        assert lines[-1].startswith("ERROR BUSY"), lines
+    assert statistics.median(seconds) < REFUSAL_BOUND
+
+
 async def test_draining_primary_hands_over_without_loss(fleet):
     """Guards against work on a primary that leaves, and against commits lost by the change."""
     caller = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
--- a/tests/test_pooling/test_pool.py
+++ b/tests/test_pooling/test_pool.py
@@ -137,6 +137,46 @@
     assert tested.reachable(now + pool.UNREACHABLE_PERIOD)
 
 
+async def test_waiting_statements_leave_a_target_that_gives_no_answer():
+    """Guards against statements that wait for connections which cannot be opened."""
+    driver = FakeDriver()
+    tested = _pool(driver, limit=1)
+    driver.failing = 1
+    opening = asyncio.create_task(_acquire(tested, "one"))
+    waiting = asyncio.create_task(_acquire(tested, "two"))
+    for task in (opening, waiting):
+        with pytest.raises(errors.TargetError):
+            await task
+    assert not tested.waiting and not tested.open
+
+
+async def test_one_statement_at_a_time_tries_a_target_that_failed():
+    """Guards against many statements that spend their time at a target which is still dead."""
+    driver = FakeDriver()
+    tested = _pool(driver)
+    driver.failing = 1
+    with pytest.raises(errors.TargetError):
+        await _acquire(tested, "one")
+    now = asyncio.get_running_loop().time
+    later = now() + pool.UNREACHABLE_PERIOD
+    assert tested.reachable(later)
+    trying = asyncio.create_task(_acquire(tested, "one"))
+    await asyncio.sleep(0)
+    assert not tested.reachable(later)
+    await trying
+    assert tested.reachable(later)
+
+
+async def test_broken_connection_does_not_make_its_target_unreachable():
+    """Guards against a target that resets some connections and is then left alone."""
+    tested = _pool(FakeDriver())
+    tested.release(await _acquire(tested, "one"))
+    now = asyncio.get_running_loop().time()
+    tested.note_broken()
+    assert tested.reachable(now)
+    assert not tested.has_idle("one") and tested.failures == 1
+
+
 @pytest.mark.parametrize("seed", range(20))
 async def test_random_use_keeps_the_limit_and_loses_no_room(seed):
     """Guards against leaked room, double lending and more connections than allowed."""
