Watch the store only once the own registration is written

After a restart it waited for a hub's heartbeat to see its registration. Change: the first watching calls wait for the own row, at most 1 s, and the control table is watched until it shows that row.

--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -15,7 +15,6 @@
 logger = logging.getLogger(__name__)
 
 CHECK_INTERVAL = 0.5  # seconds
-START_INTERVAL = 0.05  # seconds between looks at whether the store was read
 
 # Seconds of silence towards this entry VM after which another one counts as gone. Longer than
 # a restart or a partition usually lasts; until the row is deleted, each change of a primary
@@ -39,6 +38,7 @@
         self._watched_since: dict[str, float] = {}
         self._heard_at: dict[str, float] = {}
         self._removed_at: dict[str, float] = {}
+        self._first_written = asyncio.Event()
         me: model.Member = self._members.me
         self._me = records.MemberEntry(
             vm=me.vm,
@@ -65,18 +65,22 @@
             return False
         return self._view.copy(records.Section.CONTROL).version >= row.version
 
+    @property
+    def written(self) -> asyncio.Event:
+        """Set once the own row was written."""
+        return self._first_written
+
     @property
     def _written(self) -> bool:
         return self._view.members.get(self._me.vm) == self._me
 
     async def run(self) -> None:
         """Register, and look after the rows until cancelled."""
+        await self._app.part("coordination", "watch").control_read.wait()
         while True:
             delay = CHECK_INTERVAL
             try:
-                if not self._view.copy(records.Section.CONTROL).version:
-                    delay = START_INTERVAL
-                elif not self._written and not self._app.stopping:
+                if not self._written and not self._app.stopping:
                     await self._register()
                 else:
                     await self._remove_gone(self._app.clock())
@@ -117,6 +121,7 @@
         )
         if registered:
             self._view.note_row(lease.control_row(written))
+            self._first_written.set()
 
     def _refresh(self, version: int) -> None:
         listed = [entry for entry in self._view.members.values() if not entry.removed]
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -40,6 +40,9 @@
 # after the other. Without a bound each of many rows would wake each of many entry VMs.
 CALL_RATE = 50.0
 
+# Seconds for which the first watching call of a section waits for the registration at most.
+START_WAIT = 1.0
+
 _COPIED = (records.Section.CONTROL, records.Section.TARGETS)
 
 
@@ -53,12 +56,20 @@
         self._configuration = app.part("configuration", "state")
         self._links = app.part("peers", "links")
         self._members = app.part("membership", "view")
+        self._registry = app.part("coordination", "members")
         self._available = dict.fromkeys(records.Section, False)
         self._copying: dict[records.Section, asyncio.Task[None]] = {}
         self._reported: dict[str, int] = {}
+        self._control_read = asyncio.Event()
+        self._registered = asyncio.Event()
         self._links.add_extra("store", self._report, self._note_report)
         app.part("peers", "server").add_handler(records.CopyRequest, self._answer_copy)
 
+    @property
+    def control_read(self) -> asyncio.Event:
+        """Set once the control table was read."""
+        return self._control_read
+
     @property
     def reported_versions(self) -> abc.Mapping[str, int]:
         """Version of the control table that each peer said to have, by its name."""
@@ -88,11 +99,15 @@
     async def _watch(self, section: records.Section, wait: float) -> None:
         delay = SHORTEST_DELAY
         known: int | None = None
+        started = False
         while True:
             if self._served_by_hubs(section):
                 known = None
                 await asyncio.sleep(HUB_INTERVAL)
                 continue
+            if known is not None and not started:
+                await self._await_start(section)
+                started = True
             try:
                 changes = await self._read(section, known, self._wait(wait))
                 known = changes.version
@@ -107,16 +122,39 @@
                 continue
             delay = SHORTEST_DELAY
             self._note_availability(section, True, "")
+            if section is records.Section.CONTROL:
+                self._note_control_read()
             if changes.rows:
                 await asyncio.sleep(self._spacing)
 
+    async def _await_start(self, section: records.Section) -> None:
+        """Let the first watching call of a section wait for what makes it worth its price.
+
+        The call for the control table then shows the own row. Once it has, an entry VM
+        knows whether it is a hub; if not, it need not watch the target list at all.
+        """
+        if section is records.Section.CONFIGURATION:
+            return
+        control = section is records.Section.CONTROL
+        awaited = self._registry.written if control else self._registered
+        try:
+            async with asyncio.timeout(START_WAIT):
+                await awaited.wait()
+        except TimeoutError:
+            logger.warning("the registration is late", extra={"section": section})
+
+    def _note_control_read(self) -> None:
+        self._control_read.set()
+        if self._registry.registered:
+            self._registered.set()
+
     @property
     def _spacing(self) -> float:
         """Return the seconds until the next call after one that brought changes.
 
         An entry VM whose registration is not confirmed yet cannot serve, and does not wait.
         """
-        if not self._app.part("coordination", "members").registered:
+        if not self._registry.registered:
             return 0.0
         callers = self._members.hubs if self._members.is_hub else self._members.members
         return len(callers) / CALL_RATE
@@ -137,6 +175,9 @@
         limit = CONFIRMED_BY_HUBS.get(section)
         if limit is None or self._members.is_hub:
             return False
+        if section is records.Section.CONTROL and not self._registered.is_set():
+            # Hubs that start at the same time would show the own row only a second later.
+            return False
         return self._app.clock() - self._view.copy(section).as_of < limit
 
     async def _read(
--- a/tests/test_coordination/test_watch.py
+++ b/tests/test_coordination/test_watch.py
@@ -31,15 +31,35 @@
 
 
 class _Store:
-    """Counts reads; holds nothing."""
+    """Counts calls; holds nothing."""
 
     def __init__(self) -> None:
-        self.reads: list[records.Section] = []
+        self.down = False
+        self.calls: list[tuple[str, records.Section]] = []
 
     async def read(self, section):
-        """Fail, as a store that is down."""
-        self.reads.append(section)
-        raise errors.PlatformError("down", step="read", peer="store", effect_unknown=False)
+        """Return no rows, or fail as a store that is down."""
+        self.calls.append(("read", section))
+        if self.down:
+            raise errors.PlatformError("down", step="read", peer="store", effect_unknown=False)
+        return records.Changes(whole=True, rows=(), removed=(), version=1, as_of=100.0)
+
+    async def changes(self, section, after, wait):
+        """Hold the call."""
+        self.calls.append(("watch", section))
+        await asyncio.Event().wait()
+
+
+class _Registry:
+    """The registration of one entry VM."""
+
+    def __init__(self) -> None:
+        self.written = asyncio.Event()
+        self.registered = False
+
+
+class _Configuration:
+    version = 0
 
 
 class Fleet:
@@ -56,6 +76,7 @@
         self.links: dict[str, _Links] = {}
         self.stores: dict[str, _Store] = {}
         self.views: dict[str, view.StoreView] = {}
+        self.registries: dict[str, _Registry] = {}
         probe = member_view.MemberView(me=self.members[0], clock=lambda: 0.0, sparse=True)
         probe.replace(self.members)
         self.hubs = probe.hubs
@@ -70,10 +91,11 @@
         app = application.Application(name=member.vm, clock=lambda: self.now)
         seen = member_view.MemberView(me=member, clock=app.clock, sparse=True)
         seen.replace(self.members)
-        store, links = _Store(), _Links(watches=self.watches)
+        store, links, registry = _Store(), _Links(watches=self.watches), _Registry()
         app.add_part("platform", "table", lambda app: store)
         app.add_part("membership", "view", lambda app: seen)
-        app.add_part("configuration", "state", lambda app: None)
+        app.add_part("configuration", "state", lambda app: _Configuration())
+        app.add_part("coordination", "members", lambda app: registry)
         app.add_part("peers", "links", lambda app: links)
         app.add_part("peers", "server", lambda app: _Server())
         view.setup(app)
@@ -87,6 +109,7 @@
         app.configure(config.Settings(values=values, source="test"))
         self.watches[member.vm] = app.part("coordination", "watch")
         self.links[member.vm], self.stores[member.vm] = links, store
+        self.registries[member.vm] = registry
         self.views[member.vm] = app.part("coordination", "view")
         return self.views[member.vm]
 
@@ -169,7 +192,46 @@
     fleet.write(hub.vm, 5, rows=[("x", 5)])
     await fleet.report(hub.vm, fleet.plain.vm)
     mine = fleet.watches[fleet.plain.vm]
+    # Only the store itself shows the own registration soon enough.
+    assert not mine._served_by_hubs(records.Section.CONTROL)
+    fleet.registries[fleet.plain.vm].registered = True
+    mine._note_control_read()
     assert mine._served_by_hubs(records.Section.CONTROL)
     assert not fleet.watches[hub.vm]._served_by_hubs(records.Section.CONTROL)
     fleet.now += watch.CONFIRMED_BY_HUBS[records.Section.CONTROL] + 0.1
     assert not mine._served_by_hubs(records.Section.CONTROL)
+
+
+async def _start(fleet: Fleet, member: model.Member, *, registers: bool) -> list:
+    """Start the watch of one entry VM, which registers at once or not; return its calls."""
+    fleet.add(member)
+    registry = fleet.registries[member.vm]
+    running = asyncio.create_task(fleet.watches[member.vm].run())
+    await asyncio.wait_for(fleet.watches[member.vm].control_read.wait(), 1.0)
+    await asyncio.sleep(0.05)
+    before = list(fleet.stores[member.vm].calls)
+    assert ("watch", records.Section.CONTROL) not in before
+    if registers:
+        registry.registered = True
+        registry.written.set()
+    await asyncio.sleep(0.05 if registers else watch.START_WAIT + 0.1)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    return fleet.stores[member.vm].calls[len(before) :]
+
+
+async def test_control_table_is_watched_once_the_own_row_is_written():
+    """Guards against calls at the start that return for each row of another entry VM."""
+    fleet = Fleet()
+    calls = await _start(fleet, fleet.plain, registers=True)
+    assert calls == [("watch", records.Section.CONTROL)]
+
+
+async def test_sections_are_watched_although_the_registration_fails():
+    """Guards against an entry VM that learns nothing while it cannot write to the store."""
+    fleet = Fleet()
+    calls = await _start(fleet, fleet.hubs[0], registers=False)
+    assert sorted(calls) == [
+        ("watch", records.Section.CONTROL),
+        ("watch", records.Section.TARGETS),
+    ]
