Do not take a target for unreachable because one of its answers is lost

Cause: a statement without an answer closed its target to this entry VM for 0.3 s and closed all idle connections, also where the target answered others meanwhile; with a fifth of a primary's answers lost that is most of the time. Change: a lost answer or connection counts against the target only if it answered nothing since the statement was sent. The test fails before with a refused read of another account.

--- a/src/greengageshunt/pooling/execution.py
+++ b/src/greengageshunt/pooling/execution.py
@@ -207,8 +207,17 @@
         mean = known + SLOWNESS_WEIGHT * (seconds - known)
         self._slowness[placement.target] = (mean, now)
 
-    def note_failure(self, placement: Placement, error: errors.TargetError) -> None:
-        """Record that a target broke the connection or gave no answer."""
+    def note_failure(self, placement: Placement, error: errors.TargetError, sent_at: float) -> None:
+        """Record that a target broke the connection or gave no answer.
+
+        Args:
+            placement: The connection.
+            error: What happened.
+            sent_at: Monotonic seconds at which the statement was sent.
+        """
+        if placement.pool.answered_at >= sent_at:
+            # The target answered others meanwhile, so only this connection or answer is lost.
+            return
         if error.code == statements.Code.TIMEOUT:
             placement.pool.note_failure(self._app.clock())
         else:
--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -421,6 +421,7 @@
         """
         executor = self._host.executor
         operation, placement = attempt.operation, attempt.placement
+        sent_at = self._host.clock()
         deadline = attempt.received_at + operation.database.statement_timeout
         if writes:
             executor.begin_write(operation.database.group)
@@ -428,11 +429,11 @@
             answer = await placement.connection.run(
                 attempt.statement.id,
                 text,
-                timeout=max(0.0, deadline - self._host.clock()),
+                timeout=max(0.0, deadline - sent_at),
                 after=after,
             )
         except errors.TargetError as error:
-            executor.note_failure(placement, error)
+            executor.note_failure(placement, error, sent_at)
             return error
         finally:
             if writes:
--- a/tests/support/line_target.py
+++ b/tests/support/line_target.py
@@ -32,6 +32,7 @@
         self.peak_sessions = 0
         self.delay = 0.0
         self.lose_answers = 0
+        self.loses_silently = False
         self.deaf = False
         self.parted = False
         self.port = 0
@@ -99,6 +100,8 @@
             writer.write(f"READY I {self.position}\r\n".encode())
             while line := await reader.readline():
                 answer = await session.answer(line.decode().rstrip("\r\n"))
+                if answer is None and self.loses_silently:
+                    continue
                 if answer is None:
                     writer.transport.abort()
                     return
--- a/tests/test_platform/test_entry.py
+++ b/tests/test_platform/test_entry.py
@@ -158,6 +158,28 @@
     assert sum(entry[1] == "once" for entry in fleet.group.targets["t-1"].log) == 1
 
 
+async def test_one_lost_answer_does_not_keep_others_from_a_target(fleet):
+    """Guards against a target that is left alone, though it answers all but one statement."""
+    first = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
+    second = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-two")
+    for caller in (first, second):
+        await caller.run("WRITE warm up")
+    target = fleet.group.targets["t-1"]
+    target.lose_answers, target.loses_silently = 1, True
+    lost = asyncio.create_task(first.run("READ a"))
+    while target.lose_answers:  # noqa: ASYNC110 - the stand-in has no event
+        await asyncio.sleep(0.01)
+    after_loss = 0
+    while after_loss < 20:
+        lines, _ = await second.run("READ a")
+        assert lines[-1].startswith("COMPLETE t-1"), lines
+        after_loss += lost.done()
+        await asyncio.sleep(0.01)
+    assert (await lost)[0][-1].startswith("ERROR TIMEOUT")
+    used = {run.connection for run in target.runs if run.account == "two"}
+    assert len(used) == 1
+
+
 async def test_withdrawn_key_stops_for_connected_callers(fleet):
     """Guards against a key that works on after it was withdrawn."""
     caller = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
