Ask a holder of tokens that did not answer only after half a second

Cause: while a zone is cut off, each request of an account whose nearest holder is empty waited for the timeouts of the others, 0.15 s each, before it was refused. Change: a holder that did not answer is passed over for 0.5 s, for all accounts.

--- a/src/greengageshunt/admission/granted.py
+++ b/src/greengageshunt/admission/granted.py
@@ -48,6 +48,10 @@
 # Seconds after an empty answer during which a holder is not asked again.
 EMPTY_PERIOD = 0.1
 
+# Seconds for which a holder that did not answer is not asked, for any account. Each request
+# would else wait for the timeouts of all holders behind a partition.
+SILENT_PERIOD = 0.5
+
 # Seconds for which a request waits for the next token of the reserve.
 REFILL_WAIT = 0.05
 
@@ -182,6 +186,7 @@
         self._tokens: dict[str, tuple[float, float]] = {}
         self._demands: dict[str, _Demand] = {}
         self._empty_until: dict[tuple[str, str], float] = {}
+        self._silent_until: dict[str, float] = {}
         self._asking: dict[str, asyncio.Task[bool]] = {}
         self._accounts: dict[str, model.ClientAccount] = {}
         self._turns = itertools.count()
@@ -285,6 +290,9 @@
             if now < self._empty_until.get((account, holder), now):
                 reasons.append(f"{holder} was empty")
                 continue
+            if now < self._silent_until.get(holder, now):
+                reasons.append(f"{holder} did not answer")
+                continue
             grant = await self._request(account, holder, wanted)
             if grant.tokens >= 1.0:
                 self._tokens[account] = (grant.tokens, now + GRANT_PERIOD)
@@ -319,7 +327,10 @@
             return self._give(request)
         try:
             return await self._links.request(holder, request, GRANT_TIMEOUT)
-        except (errors.PeerError, errors.RefusedError) as error:
+        except errors.PeerError as error:
+            self._silent_until[holder] = self._app.clock() + SILENT_PERIOD
+            return Grant(tokens=0.0, reason=str(error))
+        except errors.RefusedError as error:
             return Grant(tokens=0.0, reason=str(error))
 
     async def _answer(self, message: GrantRequest, received_at: float) -> Grant:
--- a/tests/test_admission/test_granted.py
+++ b/tests/test_admission/test_granted.py
@@ -27,9 +27,11 @@
     def __init__(self) -> None:
         self.handlers: dict[str, object] = {}
         self.cut: set[str] = set()
+        self.asked: list[str] = []
 
     async def request(self, sender: str, vm: str, message: object) -> object:
         """Return the answer of a peer."""
+        self.asked.append(vm)
         if vm not in self.handlers or {sender, vm} & self.cut:
             raise errors.PeerError("cut", step="request", peer=vm, sent=False)
         return await self.handlers[vm](message, 0.0)
@@ -270,3 +272,23 @@
             times.append(clock.now)
     limit = ACCOUNT.rate * WINDOW + ACCOUNT.burst
     assert limit < _largest_window(times) <= 1.1 * limit + 20.0
+
+
+async def test_silent_holder_is_asked_again_only_after_a_while():
+    """Guards against requests that each wait for the timeouts of holders behind a partition."""
+    clock, network = Clock(), Network()
+    vms = tuple(f"vm-{index}" for index in range(8))
+    fleet = {vm: _policy(vm, vms, clock, network) for vm in vms}
+    holders = granted.holders_of(ACCOUNT.name, granted.Names(names=vms, seen_at=0.0, version=1))
+    plain = next(vm for vm in vms if vm not in holders)
+    network.cut = set(holders)
+    clock.now += 0.01
+    await _admit(fleet[plain][1], clock)
+    assert sorted(network.asked) == sorted(holders)
+    clock.now += granted.EMPTY_PERIOD + 0.01
+    await _admit(fleet[plain][1], clock)
+    assert len(network.asked) == len(holders)
+    clock.now += granted.SILENT_PERIOD
+    network.cut = set()
+    assert await _admit(fleet[plain][1], clock)
+    assert len(network.asked) > len(holders)
