Let a lender keep two tokens for its own first requests

Cause: test_planned_change_and_drain once saw a request refused within the account's rate. Change: two tokens stay with the lender where that is at most a tenth of its share. The new test fails before.

--- a/src/greengageshunt/admission/ledger.py
+++ b/src/greengageshunt/admission/ledger.py
@@ -38,6 +38,11 @@
 # Requests a second below which a lender counts as idle.
 IDLE_DEMAND = 0.1
 
+# Tokens that a lender keeps, so that its first requests need not wait for loans, and the part
+# of its own share above which it would rather lend them.
+KEPT_TOKENS = 2.0
+LARGEST_KEPT_PART = 0.1
+
 # Tokens below which a VM borrows while other VMs use the account too.
 CONTENDED_TOKENS = 2.0
 
@@ -83,6 +88,14 @@
     return min(longest, max(slow, fast))
 
 
+def kept_fraction(share: shares.Share) -> float:
+    """Return the part of an account that a lender keeps whatever its demand is."""
+    if share.burst <= 0:
+        return 0.0
+    kept = KEPT_TOKENS / share.burst
+    return kept if kept <= share.fraction * LARGEST_KEPT_PART else 0.0
+
+
 def spare_fraction(held: holding.Holding, demand: float) -> float:
     """Return the part of the own share that a VM can lend.
 
@@ -91,7 +104,8 @@
         demand: Requests a second on this VM.
     """
     needed = DEMAND_FACTOR * demand / held.share.rate if held.share.rate > 0 else 0.0
-    return max(0.0, min(held.own, held.fraction - needed))
+    kept = kept_fraction(held.share)
+    return max(0.0, min(held.own - kept, held.fraction - max(needed, kept)))
 
 
 def wanted_fraction(
@@ -222,7 +236,9 @@
                 loan_id=loan_id, lender=self._view.me, fraction=fraction, ends_at=ends_at
             )
             # A VM with callers of its own keeps half of its tokens for them.
-            given = held.tokens / 2 if self.demand(account, now) > IDLE_DEMAND else held.tokens
+            kept = KEPT_TOKENS if kept_fraction(held.share) else 0.0
+            spare = max(0.0, held.tokens - kept)
+            given = spare / 2 if self.demand(account, now) > IDLE_DEMAND else spare
             held, tokens = holding.lend(held, loan, given, now)
         else:
             fraction = 0.0
--- a/tests/test_admission/test_share_scenarios.py
+++ b/tests/test_admission/test_share_scenarios.py
@@ -56,6 +56,19 @@
     fleet.check()
 
 
+def test_lender_serves_its_own_first_requests_without_loans():
+    """Guards against refusals within the rate on a VM that lent all and hears nobody in time."""
+    fleet = share_fleet.Fleet(vms=3, rate=1000.0, burst=1000.0)
+    fleet.run(6.0, busy=False)
+    borrower, lender = fleet.vms[:2]
+
+    _borrow(fleet, borrower)
+
+    assert _fraction(fleet, borrower) > 0.99
+    assert fleet.spend(lender, 2) == 2
+    fleet.check()
+
+
 def test_loan_ends_at_the_borrower_first():
     """Guards against a borrower that counts from the receipt of a late answer."""
     fleet = _fleet()
