Do not blame a target for statements that came with no time left

Cause: found on reading. A connection is opened with the time that its statement has left, and a statement is sent with what is left of its limit; when that was a few milliseconds, the target counted as unreachable for 0.3 s, and now also all that wait for it would be sent away. Change: only attempts with at least the usual time to connect count against a target. The test fails before.

--- a/src/greengageshunt/pooling/execution.py
+++ b/src/greengageshunt/pooling/execution.py
@@ -218,10 +218,12 @@
         if placement.pool.answered_at >= sent_at:
             # The target answered others meanwhile, so only this connection or answer is lost.
             return
-        if error.code == statements.Code.TIMEOUT:
-            placement.pool.note_failure(self._app.clock())
-        else:
+        now = self._app.clock()
+        if error.code != statements.Code.TIMEOUT:
             placement.pool.note_broken()
+        elif now - sent_at >= pool.CONNECT_TIMEOUT:
+            # A statement with less time left when it was sent says nothing of the target.
+            placement.pool.note_failure(now)
 
     def confirmed(self, placement: Placement) -> bool:
         """Return whether the permission under which a write was sent still lasts."""
--- a/src/greengageshunt/pooling/pool.py
+++ b/src/greengageshunt/pooling/pool.py
@@ -263,21 +263,13 @@
 
     async def _connect(self, account: str, deadline: float) -> Any:
         """Open a connection in room that is reserved."""
-        timeout = min(CONNECT_TIMEOUT, deadline - self._clock())
+        left = deadline - self._clock()
+        timeout = min(CONNECT_TIMEOUT, left)
         self._opened += 1
         self._opening += 1
         try:
             connection = await self._driver.connect(self._entry, account, timeout)
         except errors.TargetError as error:
-            now = self._clock()
-            if error.code:
-                self.note_answer(now)
-                self._refused_limit, self._refused_at = self._open - 1, now
-                if self._open == 1:
-                    # Connections of processes that ended in the dark count for seconds.
-                    self._failed_at = now - UNREACHABLE_PERIOD + REFUSED_PERIOD
-            else:
-                self.note_failure(now)
             logs.log_decision(
                 logger,
                 "connect-failed",
@@ -286,7 +278,11 @@
                 open=self._open,
                 reason=str(error),
             )
-            if not error.code:
+            if error.code:
+                self._note_refusal(self._clock())
+            elif left >= CONNECT_TIMEOUT:
+                # With less time left, the failure says nothing of the target.
+                self.note_failure(self._clock())
                 self._send_away(error)
             self._free_room()
             raise
@@ -298,6 +294,14 @@
         self.note_answer(self._clock())
         return connection
 
+    def _note_refusal(self, now: float) -> None:
+        """Record that the target refused a connection, as it has too many."""
+        self.note_answer(now)
+        self._refused_limit, self._refused_at = self._open - 1, now
+        if self._open == 1:
+            # Connections of processes that ended in the dark count for seconds.
+            self._failed_at = now - UNREACHABLE_PERIOD + REFUSED_PERIOD
+
     def _send_away(self, error: errors.TargetError) -> None:
         """End the waiting for a target that cannot be reached; others may serve."""
         while (waiter := self._next_waiter("")) is not None:
--- a/tests/test_pooling/test_pool.py
+++ b/tests/test_pooling/test_pool.py
@@ -137,6 +137,16 @@
     assert tested.reachable(now + pool.UNREACHABLE_PERIOD)
 
 
+async def test_statement_without_time_left_says_nothing_of_its_target():
+    """Guards against a target that is left alone because of a statement that came too late."""
+    driver = FakeDriver()
+    tested = _pool(driver)
+    driver.failing = 1
+    with pytest.raises(errors.TargetError):
+        await _acquire(tested, "one", seconds=pool.CONNECT_TIMEOUT / 2)
+    assert tested.reachable(asyncio.get_running_loop().time()) and not tested.failures
+
+
 async def test_waiting_statements_leave_a_target_that_gives_no_answer():
     """Guards against statements that wait for connections which cannot be opened."""
     driver = FakeDriver()
