End a planned stop within the grace although a peer is silent

Two things add up while a peer is silent: the announcement of the stop waits 0.75 s for it, and the front end counted its part of the grace from after that; then the peer server waited up to 10 s for the closing handshake of the peer's link. Change: the grace counts from the request to stop, and a closing handshake is waited for 0.1 s. The test, a stop beside a paused peer with a statement on its way, fails without either change.

--- a/src/greengageshunt/application.py
+++ b/src/greengageshunt/application.py
@@ -5,6 +5,7 @@
 import asyncio
 import importlib
 import logging
+import math
 import signal
 from collections import abc
 from importlib import metadata
@@ -42,6 +43,7 @@
         self._extensions: list[str] = []
         self._instances: dict[tuple[str, str], Any] = {}
         self._stopping = asyncio.Event()
+        self._stop_requested_at = math.inf
         self._reload: abc.Callable[[], None] | None = None
 
     @property
@@ -147,8 +149,14 @@
         """Wait until a stop is requested."""
         await self._stopping.wait()
 
+    @property
+    def stop_requested_at(self) -> float:
+        """Monotonic seconds of the request to stop; infinite before it."""
+        return self._stop_requested_at
+
     def request_stop(self) -> None:
         """Ask the application to stop gracefully."""
+        self._stop_requested_at = min(self._stop_requested_at, self._clock())
         self._stopping.set()
 
     def on_reload(self, callback: abc.Callable[[], None]) -> None:
--- a/src/greengageshunt/peers/link.py
+++ b/src/greengageshunt/peers/link.py
@@ -18,6 +18,10 @@
 SILENCE_DEADLINE = 0.75  # seconds without a frame after which a link is replaced
 OPEN_TIMEOUT = 0.75  # seconds
 RECONNECT_DELAY = 0.1  # seconds
+
+# Seconds to wait for a peer's part of a closing handshake. A silent peer would else keep a process
+# from its end until the platform kills it.
+CLOSE_TIMEOUT = 0.1
 FRAME_LIMIT = 16 * 2**20  # bytes
 
 
@@ -79,7 +83,7 @@
                 connection = await client.connect(
                     f"ws://{self._peer.peer_address}",
                     open_timeout=OPEN_TIMEOUT,
-                    close_timeout=0.1,
+                    close_timeout=CLOSE_TIMEOUT,
                     ping_interval=None,
                     max_size=FRAME_LIMIT,
                     compression=None,
--- a/src/greengageshunt/peers/server.py
+++ b/src/greengageshunt/peers/server.py
@@ -48,6 +48,7 @@
             ping_interval=None,
             max_size=link.FRAME_LIMIT,
             compression=None,
+            close_timeout=link.CLOSE_TIMEOUT,
         ):
             await asyncio.Event().wait()
 
--- a/src/greengageshunt/platform/frontend.py
+++ b/src/greengageshunt/platform/frontend.py
@@ -96,8 +96,9 @@
 
     async def stop(self) -> None:
         """Let operations end, and close the sessions between them."""
-        started_at = self._app.clock()
-        await asyncio.sleep(ROTATION_DELAY)
+        # The steps before this one may have waited for peers that do not answer.
+        started_at = self._app.stop_requested_at
+        await asyncio.sleep(max(0.0, started_at + ROTATION_DELAY - self._app.clock()))
         self._closing = True
         end = started_at + self._grace - CLOSE_MARGIN
         transactions_end = started_at + self._grace * TRANSACTION_SHARE
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -50,7 +50,13 @@
     raise OSError("no free port")
 
 
-def configuration(version: int, *, keys: abc.Mapping[str, list[str]], rate: float = 1000) -> dict:
+def configuration(
+    version: int,
+    *,
+    keys: abc.Mapping[str, list[str]],
+    rate: float = 1000,
+    timeout: float = 2.0,
+) -> dict:
     """Return a document of the operator: three databases over one group."""
     kinds = ("primary", "bounded_staleness", "read_your_writes")
     return {
@@ -60,7 +66,7 @@
                 "name": kind,
                 "host": f"db_{kind}",
                 "route-kind": kind,
-                "timeout-ms": 2000,
+                "timeout-ms": round(timeout * 1000),
                 "latency-goal-ms": 300,
                 "priority": 1,
                 "service": GROUP,
--- a/tests/test_platform/test_entry.py
+++ b/tests/test_platform/test_entry.py
@@ -229,6 +229,24 @@
     assert vm.process.returncode == 0
 
 
+async def test_planned_stop_ends_within_the_grace(fleet):
+    """Guards against a process that is killed at the end of the grace because a peer is silent."""
+    vm = fleet.vms[0]
+    caller = await entry_fleet.Caller.open(vm, "db_primary", "key-one")
+    await caller.run("WRITE warm up")
+    fleet.group.targets["t-1"].delay = 2 * entry_fleet.GRACE
+    fleet.configure(2, keys=KEYS, timeout=4 * entry_fleet.GRACE)
+    await asyncio.sleep(0.5)
+    fleet.vms[2].signal(signal.SIGSTOP)
+    running = asyncio.create_task(caller.run("READ a"))
+    await asyncio.sleep(0.1)
+    vm.signal(signal.SIGTERM)
+    await asyncio.to_thread(vm.process.wait, entry_fleet.GRACE)
+    fleet.vms[2].signal(signal.SIGCONT)
+    assert vm.process.returncode == 0
+    await asyncio.gather(running, return_exceptions=True)
+
+
 async def test_reload_during_a_stop_does_not_end_the_process(fleet):
     """Guards against a planned stop that a late signal turns into a failure."""
     process = fleet.vms[0].process
