--- a/src/greengageshunt/admission/granted.py
+++ b/src/greengageshunt/admission/granted.py
@@ -48,8 +48,8 @@
 # Seconds after an empty answer during which a holder is not asked again.
 EMPTY_PERIOD = 0.1
 
-# Seconds for which a holder that did not answer is not asked, for any account. Each request
-# would else wait for the timeouts of all holders behind a partition.
+# Seconds for which a holder that did not answer is not asked while others do, for any account.
+# Each request would else wait for the timeouts of all holders behind a partition.
 SILENT_PERIOD = 0.5
 
 # Seconds for which a request waits for the next token of the reserve.
@@ -284,13 +284,18 @@
     async def _ask_round(self, account: str) -> bool:
         now = self._app.clock()
         wanted = max(1.0, math.ceil(self._demands[account].rate(now) * LOOK_AHEAD))
+        order = self._ask_order(account)
+        silent = {holder for holder in order if now < self._silent_until.get(holder, now)}
+        if len(silent) == len(order):
+            # All of them may be starting, after a loss of all processes.
+            silent = set()
         reasons = []
-        for holder in self._ask_order(account):
+        for holder in order:
             now = self._app.clock()
             if now < self._empty_until.get((account, holder), now):
                 reasons.append(f"{holder} was empty")
                 continue
-            if now < self._silent_until.get(holder, now):
+            if holder in silent:
                 reasons.append(f"{holder} did not answer")
                 continue
             grant = await self._request(account, holder, wanted)
