Read every section soon after the store's return

Cause: a watch call that was sent while the store was silent waited for its whole time (7 s for the configuration), also after the store's return, since the store never responds to it. Idle connections that had fallen silent were used for further calls, with the same result. A configuration acknowledged 0.9 s after the return was adopted 5 s later.

Change: after a failed call the next one is not held by the store; the first answer after a failure repeats the pending watch calls of the other sections; a call without an answer closes the idle connections to that server.

--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -1,7 +1,9 @@
 """Watches the store's sections, and exchanges copies of them with peers."""
 
 import asyncio
+import contextlib
 import logging
+import math
 import random
 from collections import abc
 from typing import Any
@@ -61,6 +63,8 @@
         self._members = app.part("membership", "view")
         self._registry = app.part("coordination", "members")
         self._availability = dict.fromkeys(records.Section, False)
+        self._waits: dict[records.Section, tuple[asyncio.Timeout, float]] = {}
+        self._lost_at = dict.fromkeys(records.Section, -math.inf)
         self._copying: dict[records.Section, asyncio.Task[None]] = {}
         self._reported_versions: dict[str, int] = {}
         self._control_read = asyncio.Event()
@@ -103,6 +107,7 @@
         delay = MIN_RETRY_DELAY
         known: int | None = None
         started = False
+        hold = self._watch_wait(wait)
         while True:
             if self._is_confirmed_by_hubs(section):
                 known = None
@@ -112,24 +117,58 @@
                 await self._await_registration(section)
                 started = True
             try:
-                changes = await self._read(section, known, self._watch_wait(wait))
+                changes = await self._until_store_returns(
+                    section, self._read(section, known, hold), self._app.clock()
+                )
                 known = changes.version
             except errors.HistoryLostError as error:
                 logs.log_decision(logger, "read-whole", section=section, reason=str(error))
                 known = None
                 continue
+            except TimeoutError:
+                logs.log_decision(logger, "repeat-watch", section=section)
+                hold = 0.0
+                continue
             except errors.PlatformError as error:
                 self._note_availability(section, False, str(error))
-                await asyncio.sleep(delay * random.uniform(0.5, 1.0))
+                # A store that does not answer may accept a call and never respond to it, even
+                # after its return. Only a call that it need not hold shows the return early.
+                hold = 0.0
+                with contextlib.suppress(TimeoutError):
+                    pause = asyncio.sleep(delay * random.uniform(0.5, 1.0))
+                    await self._until_store_returns(section, pause, -math.inf)
                 delay = min(2 * delay, self._max_retry_delay)
                 continue
             delay = MIN_RETRY_DELAY
+            hold = self._watch_wait(wait)
             self._note_availability(section, True, "")
             if section is records.Section.CONTROL:
                 self._note_control_read()
             if changes.rows:
                 await asyncio.sleep(self._call_spacing)
 
+    async def _until_store_returns(
+        self, section: records.Section, waiting: abc.Awaitable[Any], began_at: float
+    ) -> Any:
+        """Wait for a call or a pause of a section, and return its result.
+
+        Args:
+            section: The section.
+            waiting: The call or pause.
+            began_at: Monotonic seconds; the wait ends if a call of another section failed later
+                than this, and the store answers that section again.
+
+        Raises:
+            TimeoutError: The store returned.
+            PlatformError: The call failed.
+        """
+        async with asyncio.timeout(None) as limit:
+            self._waits[section] = (limit, began_at)
+            try:
+                return await waiting
+            finally:
+                del self._waits[section]
+
     async def _await_registration(self, section: records.Section) -> None:
         """Delay the first watch call of a section to avoid calls that cost money in vain.
 
@@ -223,6 +262,13 @@
         message = "store regained" if available else "store lost"
         logger.warning(message, extra={"section": section, "reason": reason})
         self._app.events.emit("dependency-changed", ("store", available))
+        if not available:
+            self._lost_at[section] = self._app.clock()
+            return
+        loop_now = asyncio.get_running_loop().time()
+        for limit, began_at in self._waits.values():
+            if began_at < self._lost_at[section] and not limit.expired():
+                limit.reschedule(loop_now)
 
     def _heartbeat_value(self) -> dict[str, Any]:
         now = self._app.clock()
--- a/src/greengageshunt/stores/connection.py
+++ b/src/greengageshunt/stores/connection.py
@@ -133,6 +133,8 @@
         except (OSError, TimeoutError, h11.ProtocolError) as error:
             if connection is not None:
                 connection.abort()
+            # The server may have stopped answering on the other connections, too.
+            self._abort_idle_connections()
             reason = str(error) or type(error).__name__
             raise CallError(f"{method} {path.partition('?')[0]}: {reason}", sent=sent) from error
         except asyncio.CancelledError:
@@ -145,6 +147,10 @@
             connection.abort()
         return response
 
+    def _abort_idle_connections(self) -> None:
+        while self._idle_connections:
+            self._idle_connections.pop().abort()
+
     async def _get_connection(self) -> _Connection:
         while self._idle_connections:
             connection = self._idle_connections.pop()
--- a/tests/test_coordination/test_watch.py
+++ b/tests/test_coordination/test_watch.py
@@ -2,9 +2,13 @@
 
 import asyncio
 
+import pytest
+
 from greengageshunt import application, config, errors, model
 from greengageshunt.coordination import records, view, watch
 from greengageshunt.membership import view as member_view
+from greengageshunt.platform import store
+from greengageshunt.standins import memory
 
 DOMAINS = "abcd"
 
@@ -245,3 +249,88 @@
         ("watch", records.Section.CONTROL),
         ("watch", records.Section.TARGETS),
     ]
+
+
+class _SilentStore:
+    """Store that answers no call which is pending or arrives while it is silent.
+
+    Args:
+        clock: Returns monotonic seconds.
+        silent_from: Seconds at which the store becomes silent.
+        silent_until: Seconds at which it answers new calls again.
+    """
+
+    def __init__(self, *, clock, silent_from: float, silent_until: float) -> None:
+        self._clock = clock
+        self._silent_from = silent_from
+        self._silent_until = silent_until
+        self.calls: list[tuple[float, records.Section]] = []
+
+    async def read(self, section):
+        """Return no rows."""
+        return await self._answer(section, 0.0)
+
+    async def changes(self, section, after, wait):
+        """Return no rows after the wait."""
+        return await self._answer(section, wait)
+
+    async def _answer(self, section, wait):
+        sent_at = self._clock()
+        self.calls.append((sent_at, section))
+        await asyncio.sleep(wait + 0.001)
+        if sent_at < self._silent_until and self._clock() > self._silent_from:
+            await asyncio.sleep(store.CALL_TIMEOUT)
+            raise errors.PlatformError("silent", step="read", peer="store", effect_unknown=False)
+        return records.Changes(is_snapshot=True, rows=(), removed=(), version=1, as_of=sent_at)
+
+
+async def _watch_silent_store(silent_from: float, silent_until: float) -> _SilentStore:
+    """Run the watch of a hub for 60 s; the store is silent for a part of them."""
+    fleet = Fleet()
+    hub = fleet.hubs[0]
+    fleet.add(hub)
+    clock = asyncio.get_running_loop().time
+    silent = _SilentStore(clock=clock, silent_from=silent_from, silent_until=silent_until)
+    own_watch = fleet.watches[hub.vm]
+    own_watch._store, own_watch._app._clock = silent, clock
+    fleet.registries[hub.vm].registered = True
+    fleet.registries[hub.vm].row_written.set()
+    waits = {"configuration": 6.0, "targets": 10.0, "control": 2.0}
+    values = {f"store.{name}_wait": seconds for name, seconds in waits.items()}
+    own_watch._app._settings = config.Settings(values=values, source="test")
+    running = asyncio.create_task(own_watch.run())
+    await asyncio.sleep(60.0)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    return silent
+
+
+# Seconds after the store's return within which a hub must have sent a call for each section: the
+# time within which a configuration that is acknowledged at the return must be in force.
+RETURN_BOUND = 3.0
+
+
+@pytest.mark.parametrize("silent_for", [0.5, 1.5, 3.0, 6.0, 9.0])
+@pytest.mark.parametrize("silent_from", [20.0, 20.9, 22.3, 24.7])
+def test_every_section_is_read_soon_after_the_store_returns(silent_from, silent_for):
+    """Guards against a watch call that waits for a store that will never answer that call.
+
+    A configuration acknowledged 0.9 s after the return of the store was adopted 5 s later, since
+    the call that watched it had been sent while the store was silent.
+    """
+    silent_until = silent_from + silent_for
+    silent = memory.run(_watch_silent_store(silent_from, silent_until))
+    for section in records.Section:
+        first = min(at for at, called in silent.calls if called is section and at >= silent_until)
+        assert first - silent_until <= RETURN_BOUND, (section, first)
+
+
+def test_a_store_that_answers_gets_no_further_calls():
+    """Guards against calls, which cost money, that repeat watch calls of a store that answers."""
+    silent = memory.run(_watch_silent_store(99.0, 99.0))
+    counts = {
+        section: sum(called is section for _, called in silent.calls) for section in records.Section
+    }
+    assert counts[records.Section.CONFIGURATION] <= 11
+    assert counts[records.Section.TARGETS] <= 7
+    assert counts[records.Section.CONTROL] <= 31
