Keep the fence of orders without the platform, and recall commits under way

Cause: the further deployments do not check fencing tokens. A holder that froze or lost the store between its conditional write and its order sent the order afterwards, behind the one of its successor. A commit of a transaction that began before a recall was sent to the old primary after it, and the answer to a write that outlasted the recall's 0.3 s was passed on as a success, although the new primary may lack it.

Change: coordination/orders.py sends an order only while its token is the newest known, the process is registered and its knowledge is younger than a lease less the time of the order; a recall is confirmed only once no own order is on its way. A commit renews the lease before it is sent, and abandoned writes become INDOUBT.

--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from greengageshunt import application, codec, errors, logs, model
-from greengageshunt.coordination import detection, lease, records, view
+from greengageshunt.coordination import detection, lease, orders, records, view
 from greengageshunt.membership import ownership
 from greengageshunt.pooling import execution, pools
 from greengageshunt.stores import rows
@@ -105,7 +105,7 @@
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
         self._store = app.selected("platform")
-        self._failover_duty = app.part("duty", "failover")
+        self._orders: orders.Orders = app.part("coordination", "orders")
         self._driver = app.selected("driver")
         self._view: view.StoreView = app.part("coordination", "view")
         self._members = app.part("membership", "view")
@@ -263,18 +263,14 @@
         if successor is None:
             logger.warning("no target can take over", extra={"group": group})
             return
-        accepted = await self._failover_duty.make_primary(
-            group, successor.entry.target, intent.holder, intent.token
-        )
         logs.log_decision(
             logger,
-            "order-primary",
+            "choose-successor",
             group=group,
             target=successor.entry.target,
-            token=intent.token,
             position=str(successor.position),
-            outcome="accepted" if accepted else "rejected",
         )
+        accepted = await self._orders.make_primary(intent, intent_row, successor.entry.target)
         if not accepted:
             return
         status = await self._await_promotion(successor.entry)
@@ -490,6 +486,7 @@
         record = codec.from_json(message.row.value, records.PrimaryRecord)
         if record.changing:
             await self._executor.wait_for_writes(record.group)
+            await self._orders.wait_for_order(record.group)
         return records.LeaseRecalled(vm=self._members.me.vm)
 
 
--- a/src/greengageshunt/platform/duties.py
+++ b/src/greengageshunt/platform/duties.py
@@ -1,12 +1,11 @@
 """Calls to the platform that only one entry VM at a time may make."""
 
 import json
+from collections import abc
 
 from greengageshunt import application, config, errors
 from greengageshunt.stores import connection
 
-CALL_TIMEOUT = 1.0  # seconds to wait for the platform's response
-
 
 class FailoverDuty:
     """Requests the platform to make a target the primary of its group."""
@@ -14,7 +13,16 @@
     def __init__(self, *, app: application.Application) -> None:
         self._http_client = connection.HttpClient(address=app.settings["duties.address"])
 
-    async def make_primary(self, group: str, target: str, holder: str, token: int) -> bool:
+    async def make_primary(
+        self,
+        group: str,
+        target: str,
+        holder: str,
+        token: int,
+        *,
+        may_send: abc.Callable[[], bool],
+        timeout: float,
+    ) -> bool:
         """Request a change of primary; return False if the platform rejected it.
 
         The platform rejects a request whose fencing token is below one that it has
@@ -26,6 +34,8 @@
             target: Target that becomes the primary.
             holder: Entry VM that sends the request.
             token: Fencing token.
+            may_send: Whether the request may still be sent; called right before it is.
+            timeout: Seconds to wait for the platform's response.
 
         Raises:
             PlatformError: The platform did not respond, or responded with an error. With
@@ -40,7 +50,12 @@
         peer = self._http_client.address
         try:
             response = await self._http_client.call(
-                "POST", "/failover", body=body, headers=headers, timeout=CALL_TIMEOUT
+                "POST",
+                "/failover",
+                body=body,
+                headers=headers,
+                timeout=timeout,
+                may_send=may_send,
             )
         except connection.CallError as error:
             raise errors.PlatformError(
--- a/src/greengageshunt/pooling/execution.py
+++ b/src/greengageshunt/pooling/execution.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import logging
+import math
 from typing import Any
 
 from greengageshunt import application, errors, model
@@ -112,6 +113,7 @@
         self._changing_since: dict[str, float] = {}
         self._writes_in_progress: collections.Counter[str] = collections.Counter()
         self._writes_ended: dict[str, asyncio.Event] = {}
+        self._writes_abandoned_at: dict[str, float] = {}
 
     def needs(self, operation: Operation) -> choice.Needs:
         """Return what an operation needs of its target."""
@@ -237,8 +239,36 @@
             # After a shorter wait, a missing answer does not show that the target is down.
             placement.pool.record_failure(now)
 
-    def lease_valid(self, placement: Placement) -> bool:
-        """Return whether the lease on the primary is still valid; true for a replica."""
+    def renew_lease(self, placement: Placement, group: str) -> Placement | None:
+        """Return a placement with the lease on its primary as it is now.
+
+        Returns:
+            The placement, or None if its target may no longer be used as the primary.
+        """
+        if not placement.primary:
+            return placement
+        now = self._app.clock()
+        primary_lease = self._leases.lease(group, now)
+        if not primary_lease.valid or primary_lease.target != placement.target:
+            return None
+        return dataclasses.replace(
+            placement,
+            checked_at=now,
+            lease_expires_at=primary_lease.expires_at,
+            version=primary_lease.version,
+        )
+
+    def may_acknowledge(self, placement: Placement, group: str, sent_at: float) -> bool:
+        """Return whether a successor of the primary, if any, has a write that was just answered.
+
+        Args:
+            placement: Connection on which the write was sent.
+            group: Group of the target.
+            sent_at: Monotonic seconds at or before which the write was sent, and after which the
+                lease was valid.
+        """
+        if self._writes_abandoned_at.get(group, -math.inf) >= sent_at:
+            return False
         return not placement.primary or self._app.clock() < placement.lease_expires_at
 
     def begin_write(self, group: str) -> None:
@@ -253,13 +283,18 @@
             self._writes_ended[group].set()
 
     async def wait_for_writes(self, group: str) -> None:
-        """Wait for at most ``WRITES_TIMEOUT`` seconds until no write of a group is in progress."""
+        """Wait for at most ``WRITES_TIMEOUT`` seconds until no write of a group is in progress.
+
+        Writes that are still in progress then can no longer be acknowledged: whoever replaces the
+        primary doesn't wait for them any more.
+        """
         if not self._writes_in_progress[group]:
             return
         try:
             async with asyncio.timeout(WRITES_TIMEOUT):
                 await self._writes_ended[group].wait()
         except TimeoutError:
+            self._writes_abandoned_at[group] = self._app.clock()
             logger.warning("writes still in progress at the time limit", extra={"group": group})
 
     def _choose(
--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -239,6 +239,8 @@
                 statements.Code.ABORTED, "the transaction failed earlier", "session"
             )
         refused = await self._ensure_connection(transaction, (), received_at)
+        if refused is None and transaction.wrote:
+            refused = self._renew_lease(transaction)
         if refused is not None:
             self._transaction = None
             await self._release_connection(transaction)
@@ -248,6 +250,24 @@
         await self._release_connection(transaction)
         return answer
 
+    def _renew_lease(self, transaction: Transaction) -> errors.Refusal | None:
+        """Check before a commit that the transaction's target is still the primary.
+
+        A former primary may accept the commit although its successor lacks it. Returns the
+        refusal if the commit must not be sent; the target then rolls the transaction back.
+        """
+        placement = transaction.placement
+        renewed = self._host.executor.renew_lease(placement, transaction.operation.database.group)
+        if renewed is None:
+            return outcomes.refusal_of(
+                statements.Code.ABORTED,
+                "the primary was changed during the transaction",
+                step="commit",
+                peer=placement.target,
+            )
+        transaction.placement = renewed
+        return None
+
     async def _run_in_transaction(
         self,
         transaction: Transaction,
@@ -465,10 +485,13 @@
 
         Otherwise a new primary may lack the write, so its outcome is in doubt.
         """
-        if not self._host.executor.lease_valid(attempt.placement):
+        placement = attempt.placement
+        sent_at = max(attempt.received_at, placement.checked_at)
+        group = attempt.operation.database.group
+        if not self._host.executor.may_acknowledge(placement, group, sent_at):
             reason = "the permission to use the primary ended before its answer"
             self._log(attempt, "INDOUBT", reason)
-            return self._refuse(statements.Code.INDOUBT, reason, "commit", attempt.placement.target)
+            return self._refuse(statements.Code.INDOUBT, reason, "commit", placement.target)
         self._position = answer.position or self._position
         self._log(attempt, "ok")
         return statements.CallerAnswer(rows=answer.rows, signature=answer.signature)
--- a/src/greengageshunt/programs/entry.py
+++ b/src/greengageshunt/programs/entry.py
@@ -49,6 +49,7 @@
     "greengageshunt.pooling.execution",
     "greengageshunt.pooling.host",
     "greengageshunt.coordination.detection",
+    "greengageshunt.coordination.orders",
     "greengageshunt.coordination.promotion",
     "greengageshunt.frontends.readiness",
     "greengageshunt.platform.frontend",
--- a/src/greengageshunt/stores/connection.py
+++ b/src/greengageshunt/stores/connection.py
@@ -105,6 +105,7 @@
         body: bytes = b"",
         headers: abc.Mapping[str, str] | None = None,
         timeout: float,
+        may_send: abc.Callable[[], bool] = lambda: True,
     ) -> Response:
         """Send a request and return the response.
 
@@ -114,9 +115,11 @@
             body: Body, sent as JSON.
             headers: Further headers.
             timeout: Seconds for the whole call, including the connection set-up.
+            may_send: Whether the request may still be sent; called right before it is.
 
         Raises:
-            CallError: The call timed out, or the connection failed.
+            CallError: The call timed out, the connection failed, or the request may no longer be
+                sent.
         """
         header_lines = [("Host", self._address), ("Content-Length", str(len(body)))]
         if body:
@@ -128,6 +131,9 @@
         try:
             async with asyncio.timeout(timeout):
                 connection = await self._get_connection()
+                if not may_send():
+                    connection.abort()
+                    raise CallError(f"{method} {path}: may no longer be sent", sent=False)
                 sent = True
                 response = await connection.exchange(request, body)
         except (OSError, TimeoutError, h11.ProtocolError) as error:
--- a/tests/test_coordination/test_promotion.py
+++ b/tests/test_coordination/test_promotion.py
@@ -109,7 +109,7 @@
     app.add_part("membership", "view", lambda app: members)
     names = [
         ("driver", "fake"),
-        ("duty", "failover"),
+        ("coordination", "orders"),
         ("coordination", "members"),
         ("coordination", "detector"),
         ("peers", "server"),
