Let entry VMs that are no hubs learn of configurations through hubs

Each watched the configuration itself; those that started first took themselves for hubs, since they knew too few others, and watched all sections.

Change: two hubs watch the configuration with short calls; heartbeats carry the version in force and the age of its reading; other entry VMs read the store only when a hub reports a newer version, or after 3.5 s without a confirmation. What hubs pass on confirms keys as of the hub's reading. After its registration an entry VM waits 1 s before it decides whether it watches, unless it lacks the primary of a group. A newer configuration is requested from peers only after 1 s.

--- a/src/greengageshunt/configuration/exchange.py
+++ b/src/greengageshunt/configuration/exchange.py
@@ -16,6 +16,11 @@
 # one. Within them, the peer usually reads the platform or requests the configuration itself.
 OFFER_DELAY = 1.0
 
+# Seconds for which peers may report a newer version before an entry VM of a large fleet requests
+# it from them. Within them, it usually reads the platform. A hub that encodes the configuration
+# for all entry VMs of its failure domain at once answers nothing else for seconds.
+FETCH_DELAY = 1.0
+
 
 class ConfigurationExchange:
     """Fetches newer configurations from peers, and offers the own one to outdated peers."""
@@ -26,6 +31,7 @@
         self._view = app.part("membership", "view")
         self._links = app.part("peers", "links")
         self._behind_since: dict[str, float] = {}
+        self._newer_since: tuple[int, float] = (0, 0.0)
         self._tasks: dict[str, asyncio.Task[None]] = {}
         server = app.part("peers", "server")
         server.add_handler(messages.ConfigurationRequest, self._handle_request)
@@ -42,7 +48,7 @@
 
     def _compare_versions(self, answered: messages.PeerAnswered) -> None:
         vm, version = answered.ack.vm, answered.ack.configuration_version
-        if version > self._configuration.version:
+        if version > self._configuration.version and self._should_fetch(answered.sent_at):
             self._start_exchange(vm, self._fetch(vm))
         if version >= self._configuration.version:
             self._behind_since.pop(vm, None)
@@ -52,6 +58,15 @@
         if version == 0 or answered.sent_at - since >= OFFER_DELAY:
             self._start_exchange(vm, self._offer(vm))
 
+    def _should_fetch(self, now: float) -> bool:
+        """Return whether to request a newer configuration that a peer has, at monotonic ``now``."""
+        own = self._configuration.version
+        if own == 0 or self._view.full_mesh:
+            return True
+        if self._newer_since[0] != own:
+            self._newer_since = (own, now)
+        return now - self._newer_since[1] >= FETCH_DELAY
+
     def _start_exchange(self, vm: str, exchange: abc.Coroutine[Any, Any, None]) -> None:
         """Start an exchange with a peer unless another one with that peer is running."""
         task = self._tasks.get(vm)
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -10,6 +10,7 @@
 
 from greengageshunt import application, config, errors, logs
 from greengageshunt.coordination import records, view
+from greengageshunt.membership import ownership
 
 logger = logging.getLogger(__name__)
 
@@ -28,14 +29,25 @@
 # Seconds without a confirmation from hubs after which an entry VM that is no hub reads a section
 # from the store. Hubs confirm the control table whenever one of their watch calls ends or a
 # heartbeat is answered, and the target list at least whenever one of their longer watch calls
-# ends. With less, each entry VM calls the store although hubs confirm the section.
+# ends. With less, each entry VM calls the store although hubs confirm the section. The time for
+# the configuration, the check interval and one call are less than the 5 s within which a
+# configuration must be in force on fleets that have hubs.
 HUB_CONFIRMATION_TIMEOUTS = {
+    records.Section.CONFIGURATION: 3.5,
     records.Section.CONTROL: 4.0,
     records.Section.TARGETS: 24.0,
 }
 
 # Seconds between checks of whether hubs still confirm a section.
-CONFIRMATION_CHECK_INTERVAL = 1.0
+CONFIRMATION_CHECK_INTERVAL = 0.5
+
+# Most seconds for which the store may hold the calls of the hubs that watch the configuration for
+# all others. Two calls end within the time for which the others wait for a confirmation.
+SHARED_CONFIGURATION_WAIT = 1.5
+
+# Number of hubs that watch the configuration with short calls, if there are entry VMs that rely on
+# hubs. The second one covers the loss of the first.
+CONFIGURATION_WATCHERS = 2
 
 # Minimum seconds for which the store may hold a watch call of an entry VM that is no hub. The
 # store's own limit is 30.
@@ -48,6 +60,13 @@
 # Maximum seconds for which the first watch call of a section waits for the registration.
 REGISTRATION_WAIT = 1.0
 
+# Seconds from the registration of this entry VM until it knows whether it is a hub. When all start
+# at once, those that register first know too few others to tell.
+SETTLE_DELAY = 1.0
+
+# Seconds by which the other sections wait longer than the control table, which names the others.
+CONTROL_LEAD = 0.25
+
 _COPIED_SECTIONS = (records.Section.CONTROL, records.Section.TARGETS)
 
 
@@ -69,6 +88,12 @@
         self._reported_versions: dict[str, int] = {}
         self._control_read = asyncio.Event()
         self._registered = asyncio.Event()
+        self._registered_at = math.inf
+        self._configuration_as_of = -math.inf
+        self._newest_reported_configuration = 0
+        self._links.add_heartbeat_value(
+            "configuration-read", self._report_configuration, self._confirm_configuration
+        )
         self._links.add_heartbeat_value("store", self._heartbeat_value, self._apply_heartbeat_value)
         app.part("peers", "server").add_handler(records.CopyRequest, self._answer_copy)
 
@@ -107,7 +132,7 @@
         delay = MIN_RETRY_DELAY
         known: int | None = None
         started = False
-        hold = self._watch_wait(wait)
+        failed = False
         while True:
             if self._is_confirmed_by_hubs(section):
                 known = None
@@ -116,6 +141,10 @@
             if known is not None and not started:
                 await self._await_registration(section)
                 started = True
+                continue
+            # A store that does not answer may accept a call and never respond to it, even after
+            # its return. Only a call that it need not hold shows the return early.
+            hold = 0.0 if failed else self._watch_wait(section, wait)
             try:
                 changes = await self._until_store_returns(
                     section, self._read(section, known, hold), self._app.clock()
@@ -127,25 +156,21 @@
                 continue
             except TimeoutError:
                 logs.log_decision(logger, "repeat-watch", section=section)
-                hold = 0.0
+                failed = True
                 continue
             except errors.PlatformError as error:
                 self._note_availability(section, False, str(error))
-                # A store that does not answer may accept a call and never respond to it, even
-                # after its return. Only a call that it need not hold shows the return early.
-                hold = 0.0
+                failed = True
                 with contextlib.suppress(TimeoutError):
                     pause = asyncio.sleep(delay * random.uniform(0.5, 1.0))
                     await self._until_store_returns(section, pause, -math.inf)
                 delay = min(2 * delay, self._max_retry_delay)
                 continue
-            delay = MIN_RETRY_DELAY
-            hold = self._watch_wait(wait)
+            delay, failed = MIN_RETRY_DELAY, False
             self._note_availability(section, True, "")
             if section is records.Section.CONTROL:
                 self._note_control_read()
-            if changes.rows:
-                await asyncio.sleep(self._call_spacing)
+            await asyncio.sleep(self._pause_after(section, changes))
 
     async def _until_store_returns(
         self, section: records.Section, waiting: abc.Awaitable[Any], began_at: float
@@ -175,10 +200,8 @@
         The control table is watched once the row of this entry VM is written, because an earlier
         call returns for each row of another one that starts. The target list is watched once the
         registration is confirmed: the entry VM then knows whether it is a hub, and one that is
-        not need not watch the target list at all.
+        not need not watch the target list and the configuration at all.
         """
-        if section is records.Section.CONFIGURATION:
-            return
         control = section is records.Section.CONTROL
         awaited = self._registry.row_written if control else self._registered
         try:
@@ -186,48 +209,77 @@
                 await awaited.wait()
         except TimeoutError:
             logger.warning("the registration is late", extra={"section": section})
+        else:
+            await asyncio.sleep(self._unsettled_seconds + (0.0 if control else CONTROL_LEAD))
 
     def _note_control_read(self) -> None:
         self._control_read.set()
-        if self._registry.registered:
+        if self._registry.registered and not self._registered.is_set():
             self._registered.set()
+            self._registered_at = self._app.clock()
 
     @property
-    def _call_spacing(self) -> float:
-        """Seconds between a call that returned changes and the next call.
+    def _unsettled_seconds(self) -> float:
+        """Seconds until this entry VM knows whether it is a hub; 0 before its registration."""
+        if not self._registered.is_set():
+            return 0.0
+        return max(0.0, self._registered_at + SETTLE_DELAY - self._app.clock())
 
-        They limit the rate of calls. An entry VM whose registration is not confirmed yet cannot
-        serve requests, so it does not wait.
+    def _pause_after(self, section: records.Section, changes: records.Changes) -> float:
+        """Return the seconds between a call that returned changes and the next call.
+
+        They limit the rate of calls. An entry VM does not wait for what it needs to serve
+        requests: the confirmation of its registration, and the primaries of all groups.
         """
         if not self._registry.registered:
             return 0.0
         callers = self._members.hubs if self._members.is_hub else self._members.members
-        return len(callers) / TOTAL_CALL_RATE
+        spacing = len(callers) / TOTAL_CALL_RATE if changes.rows else 0.0
+        if section is records.Section.CONTROL and not self._knows_all_primaries():
+            return spacing
+        return max(spacing, self._unsettled_seconds)
+
+    def _knows_all_primaries(self) -> bool:
+        groups = self._configuration.current.groups_by_name
+        return all(self._view.primary_record(group) is not None for group in groups)
 
     @property
     def _max_retry_delay(self) -> float:
         return MAX_RETRY_DELAY if self._members.is_hub else MAX_RETRY_DELAY * NON_HUB_RETRY_FACTOR
 
-    def _watch_wait(self, configured: float) -> float:
+    def _watch_wait(self, section: records.Section, configured: float) -> float:
         """Return the seconds for which the store may hold a watch call.
 
         Only hubs need an early answer when nothing changed; they confirm it to the others.
 
         Args:
+            section: The section.
             configured: Seconds from the settings.
         """
-        return configured if self._members.is_hub else max(configured, NON_HUB_WATCH_WAIT)
+        if not self._members.is_hub:
+            return max(configured, NON_HUB_WATCH_WAIT)
+        if section is not records.Section.CONFIGURATION or self._members.full_mesh:
+            return configured
+        live = self._members.live_hubs(self._app.clock())
+        watchers = ownership.rank("configuration", live)[:CONFIGURATION_WATCHERS]
+        shared = self._members.me in watchers
+        return min(configured, SHARED_CONFIGURATION_WAIT) if shared else configured
 
     def _is_confirmed_by_hubs(self, section: records.Section) -> bool:
         """Return whether hubs confirmed a section recently, so that no call is needed."""
-        timeout = HUB_CONFIRMATION_TIMEOUTS.get(section)
-        if timeout is None or self._members.is_hub:
+        if self._members.is_hub:
             return False
         if section is records.Section.CONTROL and not self._registered.is_set():
             # Hubs that start at the same time would send the row of this entry VM a second later
             # than the store.
             return False
-        return self._app.clock() - self._view.copy(section).as_of < timeout
+        if section is records.Section.CONFIGURATION:
+            if self._newest_reported_configuration > self._configuration.version:
+                return False
+            as_of = self._configuration_as_of
+        else:
+            as_of = self._view.copy(section).as_of
+        return self._app.clock() - as_of < HUB_CONFIRMATION_TIMEOUTS[section]
 
     async def _read(
         self, section: records.Section, known: int | None, wait: float
@@ -253,7 +305,23 @@
         if newest is not None:
             self._configuration.adopt(newest, "store")
         if self._configuration.version:
-            self._app.events.emit("configuration-read", changes.as_of)
+            self._record_configuration_read(changes.as_of)
+
+    def _record_configuration_read(self, as_of: float) -> None:
+        """Record a time at which the store is known to have held no newer configuration."""
+        if as_of > self._configuration_as_of:
+            self._configuration_as_of = as_of
+            self._app.events.emit("configuration-read", as_of)
+
+    def _report_configuration(self) -> list[float]:
+        """Return the version in force, and the seconds since the store is known to have held it."""
+        return [self._configuration.version, self._app.clock() - self._configuration_as_of]
+
+    def _confirm_configuration(self, vm: str, value: list[float], sent_at: float) -> None:
+        version, age = value
+        self._newest_reported_configuration = max(version, self._newest_reported_configuration)
+        if version and version == self._configuration.version:
+            self._record_configuration_read(sent_at - age)
 
     def _note_availability(self, section: records.Section, available: bool, reason: str) -> None:
         if self._availability[section] == available:
