Open a connection while its operation is admitted

Change: a pool opens a connection ahead for an operation, unless its account has one, another would have to be closed for it, statements wait, or the account was above its limit within the last second. The statement waits for that connection instead of opening a second one.

--- a/src/greengageshunt/pooling/execution.py
+++ b/src/greengageshunt/pooling/execution.py
@@ -128,6 +128,14 @@
             return choice.Needs(primary=False, after=bound.position)
         return choice.Needs(primary=False, after=max(committed, bound.position))
 
+    def expect(self, operation: Operation) -> None:
+        """Open a connection for an operation, if it needs one, while the operation is admitted."""
+        now = self._app.clock()
+        chosen, _ = self._choose(operation, set(), now)
+        entry = self._view.target(chosen.target)
+        if entry is not None:
+            self._pools.pool(entry).open_ahead(operation.account, now)
+
     async def place(
         self,
         operation: Operation,
--- a/src/greengageshunt/pooling/host.py
+++ b/src/greengageshunt/pooling/host.py
@@ -1,6 +1,7 @@
 """Opens sessions, and admits their operations."""
 
 import logging
+import math
 
 from returns import result
 
@@ -10,6 +11,10 @@
 
 logger = logging.getLogger(__name__)
 
+# Seconds after a client account exceeded its rate limit during which no connection is opened for
+# its operations before they are admitted.
+REJECTED_PERIOD = 1.0
+
 
 class SessionHost:
     """Opens sessions, and admits their operations."""
@@ -20,6 +25,7 @@
         self._confirmation = app.part("membership", "confirmation")
         self._admission = app.selected("admission")
         self._executor = app.part("pooling", "executor")
+        self._rejected_at: dict[str, float] = {}
 
     @property
     def executor(self) -> execution.Executor:
@@ -59,8 +65,14 @@
         return result.Success(session.Session(host=self, caller=caller))
 
     async def admit(
-        self, caller: identity.Identity, request: str, received_at: float
-    ) -> result.Result[tuple[model.Database, str], errors.Refusal]:
+        self,
+        caller: identity.Identity,
+        request: str,
+        received_at: float,
+        *,
+        primary_only: bool,
+        last_commit_position: model.Position | None,
+    ) -> result.Result[execution.Operation, errors.Refusal]:
         """Check the key, its confirmation and the rate limit at the start of an operation.
 
         The newest configuration applies, so a withdrawn key is rejected in open sessions, too.
@@ -69,9 +81,11 @@
             caller: Identity with which the session was opened.
             request: Id of the operation's first statement.
             received_at: Monotonic seconds at which that statement was received.
+            primary_only: Whether only the primary can run the operation.
+            last_commit_position: Log position of the session's last commit, or None.
 
         Returns:
-            The database and the name of the client account, or the refusal.
+            The operation, or the refusal.
         """
         configuration = self._configuration.current
         authorized = identity.authorize(configuration, caller)
@@ -79,8 +93,17 @@
             self._log_refused("authorize", request, caller, authorized.failure())
             return authorized
         database, account = authorized.unwrap()
+        operation = execution.Operation(
+            id=request,
+            database=database,
+            account=account,
+            began_at=received_at,
+            primary_only=primary_only,
+            last_commit_position=last_commit_position,
+        )
         if account == identity.KEYLESS_ACCOUNT:
-            return authorized
+            self._executor.expect(operation)
+            return result.Success(operation)
         if self._app.clock() >= self._confirmation.valid_until(self._app.clock()):
             refused = identity.refusal(
                 statements.Code.BUSY,
@@ -92,9 +115,12 @@
             return result.Failure(refused)
         limits = configuration.accounts_by_name[account]
         deadline = received_at + database.latency_goal
+        if received_at - self._rejected_at.get(account, -math.inf) > REJECTED_PERIOD:
+            self._executor.expect(operation)
         admission = await self._admission.admit(limits, deadline)
         if admission.admitted:
-            return authorized
+            return result.Success(operation)
+        self._rejected_at[account] = self._app.clock()
         refused = identity.refusal(
             statements.Code.BUSY,
             "the client account is above its rate limit",
--- a/src/greengageshunt/pooling/pool.py
+++ b/src/greengageshunt/pooling/pool.py
@@ -64,6 +64,21 @@
         self.granted: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
 
 
+class _ExpectedConnection:
+    """A connection that is being opened for an operation before its first statement.
+
+    Attributes:
+        account: Client account.
+        claimed: Whether a statement waits for it.
+        opened: Future that completes with the connection or an error if a statement waits.
+    """
+
+    def __init__(self, *, account: str) -> None:
+        self.account = account
+        self.claimed = False
+        self.opened: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+
+
 class TargetPool:
     """Connections of one entry VM to one target, with a queue of statements that wait for one.
 
@@ -100,6 +115,7 @@
         self._opening = 0
         self._answered_at = -1.0
         self._opened = 0
+        self._expected: dict[_ExpectedConnection, asyncio.Task[None]] = {}
 
     @property
     def entry(self) -> records.TargetEntry:
@@ -118,8 +134,9 @@
 
     @property
     def busy(self) -> int:
-        """Statements that hold a connection or wait for one."""
-        return self._open - len(self._idle) + len(self._waiters)
+        """Statements that hold a connection, open one or wait for one."""
+        unclaimed = sum(not expected.claimed for expected in self._expected)
+        return self._open - len(self._idle) - unclaimed + len(self._waiters)
 
     @property
     def waiting(self) -> int:
@@ -154,8 +171,9 @@
         return now - self._failed_at >= UNREACHABLE_BACKOFF
 
     def has_idle(self, account: str) -> bool:
-        """Return whether a client account has an idle connection."""
-        return any(connection.account == account for connection in self._idle)
+        """Return whether a client account has an idle or expected connection."""
+        idle = any(connection.account == account for connection in self._idle)
+        return idle or self._unclaimed(account) is not None
 
     def record_answer(self, now: float) -> None:
         """Record that the target answered."""
@@ -188,6 +206,61 @@
         while self._idle:
             self._discard(self._idle.pop())
 
+    def open_ahead(self, account: str, now: float) -> None:
+        """Open a connection for a statement of a client account that is about to arrive.
+
+        Nothing happens if the account has a connection already, or if one could only be opened
+        in place of another one's.
+
+        Args:
+            account: Client account.
+            now: Monotonic seconds.
+        """
+        if self._failures or self._waiters or self.has_idle(account):
+            return
+        if self._open >= self.limit(now):
+            return
+        self._open += 1
+        expected = _ExpectedConnection(account=account)
+        self._expected[expected] = asyncio.create_task(self._open_expected(expected))
+
+    async def _open_expected(self, expected: _ExpectedConnection) -> None:
+        try:
+            connection = await self._connect(expected.account, math.inf)
+        except errors.TargetError as error:
+            # ``_connect`` has logged the error.
+            if expected.claimed:
+                expected.opened.set_exception(error)
+            return
+        finally:
+            del self._expected[expected]
+        if expected.claimed:
+            expected.opened.set_result(connection)
+        else:
+            self.release(connection)
+
+    async def _claim(self, expected: _ExpectedConnection, deadline: float) -> Any:
+        """Return a connection that is being opened; raises the errors of ``acquire``."""
+        expected.claimed = True
+        try:
+            async with asyncio.timeout(max(0.0, deadline - self._clock())):
+                return await asyncio.shield(expected.opened)
+        except (TimeoutError, asyncio.CancelledError) as error:
+            expected.claimed = False
+            if expected.opened.done() and expected.opened.exception() is None:
+                self.release(expected.opened.result())
+            if isinstance(error, TimeoutError):
+                raise PoolBusyError(peer=self._entry.target, waiting=self.waiting) from error
+            raise
+
+    def _unclaimed(self, account: str) -> _ExpectedConnection | None:
+        matching = (
+            expected
+            for expected in self._expected
+            if expected.account == account and not expected.claimed
+        )
+        return next(matching, None)
+
     async def acquire(
         self, account: str, values: abc.Mapping[str, str], priority: int, deadline: float
     ) -> Any:
@@ -208,6 +281,9 @@
         idle_connection = self._take_idle(account, values)
         if idle_connection is not None:
             return idle_connection
+        expected = self._unclaimed(account)
+        if expected is not None:
+            return await self._claim(expected, deadline)
         if self._reserve_capacity():
             return await self._connect(account, deadline)
         waiter = _Waiter(account=account, priority=priority)
--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -186,19 +186,12 @@
         self, statement: statements.Statement, received_at: float, *, primary_only: bool
     ) -> result.Result[execution.Operation, errors.Refusal]:
         """Start an operation if its key, the confirmation and the rate limit allow it."""
-        admitted = await self._host.admit(self._caller, statement.id, received_at)
-        if isinstance(admitted, result.Failure):
-            return admitted
-        database, account = admitted.unwrap()
-        return result.Success(
-            execution.Operation(
-                id=statement.id,
-                database=database,
-                account=account,
-                began_at=received_at,
-                primary_only=primary_only,
-                last_commit_position=self._position,
-            )
+        return await self._host.admit(
+            self._caller,
+            statement.id,
+            received_at,
+            primary_only=primary_only,
+            last_commit_position=self._position,
         )
 
     async def _begin(
--- a/tests/test_pooling/test_pool.py
+++ b/tests/test_pooling/test_pool.py
@@ -196,30 +196,35 @@
 
     async def use(account: str) -> None:
         for _ in range(10):
+            if rng.random() < 0.3:
+                target_pool.open_ahead(account, asyncio.get_running_loop().time())
             try:
                 connection = await _acquire(target_pool, account, rng.choice((0.0, 0.001, 0.05)))
             except (pool.PoolBusyError, errors.TargetError):
                 continue
             assert connection.account == account and not connection.in_use
             connection.in_use = True
-            await asyncio.sleep(rng.choice((0, 0, 0.001, 0.002)))
-            connection.in_use = False
-            if rng.random() < 0.1:
-                connection.abort()
-            if rng.random() < 0.1:
-                connection.idle = False
-            if rng.random() < 0.1:
-                driver.failures_left = 1
-            target_pool.release(connection)
+            try:
+                await asyncio.sleep(rng.choice((0, 0, 0.001, 0.002)))
+            finally:
+                connection.in_use = False
+                if rng.random() < 0.1:
+                    connection.abort()
+                if rng.random() < 0.1:
+                    connection.idle = False
+                if rng.random() < 0.1:
+                    driver.failures_left = 1
+                target_pool.release(connection)
 
     users = [asyncio.create_task(use(f"account-{index % 4}")) for index in range(12)]
     await asyncio.sleep(0.01)
     for task in rng.sample(users, 2):
         task.cancel()
     await asyncio.gather(*users, return_exceptions=True)
+    await asyncio.sleep(0.01)
     target_pool.close_idle()
     assert driver.peak <= 3
-    assert target_pool.waiting == 0
+    assert target_pool.waiting == 0 and target_pool.open == 0
 
 
 async def test_shared_connection_is_closed_after_the_idle_limit():
@@ -250,3 +255,49 @@
         target_pool.release(connection)
     await asyncio.sleep(0.15)
     assert target_pool.open == 2
+
+
+class SlowDriver(FakeDriver):
+    """Opens connections after a handshake that takes as long as the real one."""
+
+    async def connect(self, entry, account, timeout):
+        """Open a connection, or raise an error."""
+        await asyncio.sleep(0.012)
+        return await super().connect(entry, account, timeout)
+
+
+async def test_statement_waits_for_the_connection_that_is_opened_ahead():
+    """Guards against two handshakes, each of which takes a slot, for one statement."""
+    driver = SlowDriver()
+    target_pool = _pool(driver, limit=4)
+    target_pool.open_ahead("one", asyncio.get_running_loop().time())
+    target_pool.open_ahead("one", asyncio.get_running_loop().time())
+    assert target_pool.busy == 0 and target_pool.has_idle("one")
+    await asyncio.sleep(0.006)
+    started_at = asyncio.get_running_loop().time()
+    connection = await _acquire(target_pool, "one")
+    assert asyncio.get_running_loop().time() - started_at < 0.012
+    assert target_pool.opened == 1
+    target_pool.release(connection)
+    assert await _acquire(target_pool, "one") is connection
+
+
+async def test_failed_connection_ahead_is_told_to_its_statement_at_once():
+    """Guards against a statement that waits for its deadline although the target is full."""
+    driver = SlowDriver()
+    driver.failures_left, driver.code = 1, "CONNLIMIT"
+    target_pool = _pool(driver, limit=1)
+    target_pool.open_ahead("one", asyncio.get_running_loop().time())
+    with pytest.raises(errors.TargetError):
+        await asyncio.wait_for(_acquire(target_pool, "one"), 0.2)
+    assert target_pool.open == 0 and target_pool.opened == 1
+
+
+async def test_no_connection_is_opened_ahead_in_place_of_another():
+    """Guards against idle connections of other accounts that a mere expectation closes."""
+    driver = FakeDriver()
+    target_pool = _pool(driver, limit=1)
+    target_pool.release(await _acquire(target_pool, "one"))
+    target_pool.open_ahead("two", asyncio.get_running_loop().time())
+    await asyncio.sleep(0)
+    assert target_pool.opened == 1 and target_pool.has_idle("one")
