Treat a malformed response of the store as a failed call

Cause: a response without rows, or with a row that is no object or has no key, raised an error of another type in the task that watches a section, which ended the process. A row whose value is no text did so in the control table.

Change: responses are checked before they are decoded.

Measured: test_malformed_response_is_a_failed_call fails without the change. Bytes between domains were not measured again yet.

--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -362,9 +362,10 @@
         """Return whether to request the newer copy of a peer now.
 
         Traffic between failure domains costs money, so an entry VM that is no hub requests copies
-        within its own domain while a hub there answers.
+        within its own domain while a hub there answers. Before it knows who is a hub, it requests
+        none: its own calls to the store return the same rows.
         """
-        if section in self._copying:
+        if section in self._copying or self._unsettled_seconds > 0.0:
             return False
         if self._members.is_hub:
             return True
--- a/src/greengageshunt/platform/store.py
+++ b/src/greengageshunt/platform/store.py
@@ -195,6 +195,8 @@
                 f"responded with status {response.status}", step, effect_unknown=False
             )
         document = self._document(response.body, step)
+        if not _has_rows(document):
+            raise self._error("response has no valid rows", step, effect_unknown=False)
         as_of = self._clock.to_local(document.get("now-ms"), sent_at, self._app.clock())
         return document, as_of
 
@@ -257,6 +259,17 @@
         )
 
 
+def _has_rows(document: dict[str, Any]) -> bool:
+    """Return whether a response has rows, each with a key and a version; values may be invalid."""
+    returned = document.get("rows")
+    return isinstance(returned, list) and all(
+        isinstance(row, dict)
+        and isinstance(row.get("key"), str)
+        and (row.get("tombstone") or isinstance(row.get("row-version"), int))
+        for row in returned
+    )
+
+
 def _decode_value(row: dict[str, Any]) -> str:
     return base64.b64decode(row["value"], validate=True).decode()
 
@@ -284,7 +297,7 @@
 def _decode_control(row: dict[str, Any]) -> records.ControlRow:
     try:
         value = _decode_value(row)
-    except (ValueError, KeyError, binascii.Error) as error:
+    except (ValueError, TypeError, KeyError, binascii.Error) as error:
         fields = {"key": row.get("key"), "reason": str(error)}
         logger.warning("row of the control table cannot be decoded", extra=fields)
         value = ""
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from aiohttp import web
 
 from greengageshunt import application, config, errors
 from greengageshunt.coordination import records
@@ -17,12 +18,16 @@
     stand_in = table_store.TableStore()
     port = entry_fleet.free_port()
     await stand_in.start(port)
+    yield stand_in, _client(port)
+    await stand_in.stop()
+
+
+def _client(port: int) -> store.TableStore:
     app = application.Application(name="test")
     store.setup(app)
     values = {"store.address": f"127.0.0.1:{port}"}
     app.configure(config.Settings(values=values, source="test"))
-    yield stand_in, app.part("platform", "table")
-    await stand_in.stop()
+    return app.part("platform", "table")
 
 
 async def test_write_with_an_old_version_conflicts(store_and_client):
@@ -97,3 +102,52 @@
     ):
         converted = clock.to_local(now_ms, sent_at, received_at)
         assert sent_at <= converted <= store_read_at + 0.1
+
+
+MALFORMED_DOCUMENTS = [
+    b"{}",
+    b"[]",
+    b"nonsense",
+    b'{"row-version": 5}',
+    b'{"row-version": 5, "rows": {}}',
+    b'{"row-version": 5, "rows": [null]}',
+    b'{"row-version": 5, "rows": [{"key": 7, "row-version": 1}]}',
+    b'{"row-version": 5, "rows": [{"key": "a", "row-version": "1"}]}',
+]
+
+
+@pytest.mark.parametrize("body", MALFORMED_DOCUMENTS)
+async def test_malformed_response_is_a_failed_call(body):
+    """Guards against one malformed response that ends the whole process.
+
+    An error of another type passed through the task that watches a section.
+    """
+    app = web.Application()
+    app.router.add_get("/{call}", lambda request: _respond(body))
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
+    await runner.setup()
+    port = entry_fleet.free_port()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    client = _client(port)
+    for section in records.Section:
+        with pytest.raises(errors.PlatformError):
+            await client.read(section)
+        with pytest.raises(errors.PlatformError):
+            await client.changes(section, 1, 0.0)
+    await runner.cleanup()
+
+
+async def _respond(body: bytes) -> web.Response:
+    return web.Response(body=body, content_type="application/json")
+
+
+async def test_row_with_an_invalid_value_names_nothing(store_and_client):
+    """Guards against one malformed row that hides the valid ones, or ends the process."""
+    stand_in, client = store_and_client
+    for table in ("op", "servers", store.CONTROL_TABLE):
+        stand_in.put_raw(table, "broken", b"\xff\xfe")
+        stand_in.put_raw(table, "config", b'{"version": "x"}')
+    for section in records.Section:
+        changes = await client.read(section)
+        assert changes.configuration is None
+        assert all(getattr(row, "entry", None) is None for row in changes.rows)
