Log the store's era, and changes that a copy ignores

The logs could not tell whether a store that returned from an older copy was not read, or was read and ignored. The store's client now reads the header with the era, the first response of another era is logged as store-restored with the versions before and after, and a copy that ignores an older state says so.

--- a/src/greengageshunt/coordination/records.py
+++ b/src/greengageshunt/coordination/records.py
@@ -6,6 +6,7 @@
 
 from greengageshunt import model
 from greengageshunt.peers import messages
+from greengageshunt.stores import rows as store_rows
 
 
 class Section(enum.StrEnum):
@@ -122,6 +123,7 @@
         removed: Keys of removed rows.
         version: Version of the store up to which the rows are complete.
         as_of: Time in monotonic seconds; the store was in this state then or later.
+        era: Era of the store.
         configuration: Newest configuration, in the section of that name only, or None.
     """
 
@@ -130,6 +132,7 @@
     removed: tuple[str, ...]
     version: int
     as_of: float
+    era: int = store_rows.FIRST_ERA
     configuration: model.Configuration | None = None
 
 
--- a/src/greengageshunt/coordination/view.py
+++ b/src/greengageshunt/coordination/view.py
@@ -136,6 +136,15 @@
             source: Origin of the changes for the log: ``store`` or the name of the peer.
         """
         before = self._copies[section]
+        if changes.version < before.version:
+            logs.log_decision(
+                logger,
+                "ignore-changes",
+                section=section,
+                source=source,
+                version=changes.version,
+                copied=before.version,
+            )
         self._copies[section] = after = apply(before, changes)
         if after.rows is not before.rows:
             self._decode(section, before, after, source)
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -11,6 +11,7 @@
 from greengageshunt import application, config, errors, logs
 from greengageshunt.coordination import records, view
 from greengageshunt.membership import ownership
+from greengageshunt.stores import rows
 
 logger = logging.getLogger(__name__)
 
@@ -83,6 +84,7 @@
         self._registered = asyncio.Event()
         self._configuration_as_of = -math.inf
         self._newest_reported_configuration = 0
+        self._era = rows.FIRST_ERA
         self._links.add_heartbeat_value(
             "configuration-read", self._report_configuration, self._confirm_configuration
         )
@@ -271,12 +273,34 @@
             changes = await self._store.changes(section, known, wait)
         else:
             changes = await self._store.read(section)
+        self._note_era(section, known, changes)
         if section is records.Section.CONFIGURATION:
             self._adopt_configuration(changes)
         else:
             self._view.apply(section, changes, "store")
         return changes
 
+    def _note_era(
+        self, section: records.Section, known: int | None, changes: records.Changes
+    ) -> None:
+        """Log that the store was restored from an older copy, once for each time."""
+        if changes.era == self._era:
+            return
+        stored = changes.configuration
+        logs.log_decision(
+            logger,
+            "store-restored",
+            section=section,
+            era=changes.era,
+            previous=self._era,
+            known=known,
+            version=changes.version,
+            copied={copied: self._view.copy(copied).version for copied in _COPIED_SECTIONS},
+            configuration=self._configuration.version,
+            stored_configuration=stored.version if stored else None,
+        )
+        self._era = changes.era
+
     def _adopt_configuration(self, changes: records.Changes) -> None:
         newest = changes.configuration
         if newest is not None:
--- a/src/greengageshunt/platform/store.py
+++ b/src/greengageshunt/platform/store.py
@@ -29,6 +29,9 @@
 
 _CONFIGURATION_KEY = "config"
 
+# Header of each response with the era of the store.
+_ERA_HEADER = "store-era"
+
 # HTTP statuses with which the store rejects a request before it has any effect.
 _REJECTED_UNPROCESSED = (429, 503)
 
@@ -81,13 +84,20 @@
             PlatformError: The store did not answer.
         """
         table_rows: list[Any] = []
-        version, as_of, start = 0, 0.0, ""
+        version, as_of, era, start = 0, 0.0, rows.FIRST_ERA, ""
         while True:
             query = {"table": _TABLES[section], "part": "", "limit": 500}
             if start:
                 query["from-rev"] = start
-            answer, read_at = await self._get("/rows-get", query, CALL_TIMEOUT)
+            answer, read_at, page_era = await self._get("/rows-get", query, CALL_TIMEOUT)
             table_rows.extend(answer["rows"])
+            if start and page_era != era:
+                raise self._error(
+                    f"era changed from {era} to {page_era} between two pages",
+                    f"GET /rows-get {query['table']}",
+                    effect_unknown=False,
+                )
+            era = page_era
             if not version:
                 # Later pages may contain later changes. The watch starts from the version of
                 # the first page and returns these changes once more.
@@ -96,7 +106,7 @@
                 break
             start = table_rows[-1]["key"] + "\0"
         return self._decode_changes(
-            section, table_rows, version=version, as_of=as_of, is_snapshot=True
+            section, table_rows, version=version, as_of=as_of, era=era, is_snapshot=True
         )
 
     async def changes(self, section: records.Section, after: int, wait: float) -> records.Changes:
@@ -112,10 +122,10 @@
             PlatformError: The store did not answer.
         """
         query = {"table": _TABLES[section], "after": after, "wait-ms": int(wait * 1000)}
-        answer, as_of = await self._get("/rows-feed", query, wait + CALL_TIMEOUT)
+        answer, as_of, era = await self._get("/rows-feed", query, wait + CALL_TIMEOUT)
         version = answer["row-version"]
         return self._decode_changes(
-            section, answer["rows"], version=version, as_of=as_of, is_snapshot=False
+            section, answer["rows"], version=version, as_of=as_of, era=era, is_snapshot=False
         )
 
     async def put_row(self, key: str, value: Any, etag: str | None) -> rows.Row | rows.Conflict:
@@ -136,10 +146,11 @@
             "set-keys": [{**row, "value": base64.b64encode(text.encode()).decode()}],
             "delete-keys": [],
         }
-        version = await self._write(key, entries)
-        if version is None:
+        written = await self._write(key, entries)
+        if written is None:
             return rows.Conflict(key=key)
-        return rows.Row(key=key, value=value, etag=str(version))
+        version, era = written
+        return rows.Row(key=key, value=value, etag=str(version), era=era)
 
     async def delete_row(self, key: str, etag: str) -> None:
         """Delete a row of the control table if its version is still ``etag``.
@@ -151,8 +162,12 @@
         expected = [{**row, "row-version": int(etag)}]
         await self._write(key, {"expected": expected, "set-keys": [], "delete-keys": [row]})
 
-    async def _write(self, key: str, entries: dict[str, Any]) -> int | None:
-        """Run a transaction of the store; return its version, or None if a condition fails."""
+    async def _write(self, key: str, entries: dict[str, Any]) -> tuple[int, int] | None:
+        """Run a transaction of the store.
+
+        Returns:
+            The transaction's version and the store's era, or None if a condition fails.
+        """
         step = f"write {key}"
         try:
             response = await self._call(
@@ -167,12 +182,12 @@
             raise self._error(
                 f"responded with status {response.status}", step, effect_unknown=unknown
             )
-        return self._document(response.body, step)["row-version"]
+        return self._document(response.body, step)["row-version"], _era(response)
 
     async def _get(
         self, path: str, query: dict[str, Any], timeout: float
-    ) -> tuple[dict[str, Any], float]:
-        """Return the response, and the local monotonic seconds as of which it holds."""
+    ) -> tuple[dict[str, Any], float, int]:
+        """Return the response, the local monotonic seconds as of which it holds, and its era."""
         step = f"GET {path} {query['table']}"
         sent_at = self._app.clock()
         try:
@@ -198,7 +213,7 @@
         if not _has_rows(document):
             raise self._error("response has no valid rows", step, effect_unknown=False)
         as_of = self._clock.to_local(document.get("now-ms"), sent_at, self._app.clock())
-        return document, as_of
+        return document, as_of, _era(response)
 
     async def _call(
         self, name: str, method: str, path: str, *, timeout: float, body: bytes = b""
@@ -237,6 +252,7 @@
         *,
         version: int,
         as_of: float,
+        era: int,
         is_snapshot: bool,
     ) -> records.Changes:
         # The feed returns a row once for each of its changes; the last one is in force.
@@ -255,10 +271,17 @@
             removed=removed,
             version=version,
             as_of=as_of,
+            era=era,
             configuration=configuration,
         )
 
 
+def _era(response: connection.Response) -> int:
+    """Return the era of a response; a store that reports none was never restored."""
+    text = response.headers.get(_ERA_HEADER, "")
+    return int(text) if text.isdecimal() else rows.FIRST_ERA
+
+
 def _has_rows(document: dict[str, Any]) -> bool:
     """Return whether a response has rows, each with a key and a version; values may be invalid."""
     returned = document.get("rows")
--- a/src/greengageshunt/stores/connection.py
+++ b/src/greengageshunt/stores/connection.py
@@ -32,9 +32,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Response:
-    """Response to a call."""
+    """Response to a call.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers by name in lower case.
+        body: Body.
+    """
 
     status: int
+    headers: abc.Mapping[str, str]
     body: bytes
 
 
@@ -61,13 +68,14 @@
         data += self._protocol.send(h11.EndOfMessage()) or b""
         self._writer.write(data)
         await self._writer.drain()
-        status, chunks = 0, []
+        status, headers, chunks = 0, {}, []
         while True:
             event = self._protocol.next_event()
             if event is h11.NEED_DATA:
                 self._protocol.receive_data(await self._reader.read(READ_SIZE))
             elif isinstance(event, h11.Response):
                 status = event.status_code
+                headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
             elif isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -76,7 +84,7 @@
                 raise ConnectionResetError("connection closed before the end of the response")
         if self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE:
             self._protocol.start_next_cycle()
-        return Response(status=status, body=b"".join(chunks))
+        return Response(status=status, headers=headers, body=b"".join(chunks))
 
     def abort(self) -> None:
         self._writer.transport.abort()
