--- /dev/null
+++ b/tests/test_coordination/test_restored_store.py
@@ -0,0 +1,370 @@
+"""A store that is restored from an older copy: versions go back and are given out again."""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import types
+
+import pytest
+
+from greengageshunt import errors, model
+from greengageshunt.coordination import lease, orders, promotion, records, view
+from greengageshunt.standins import memory
+from support import store_fleet
+
+GROUP = "g"
+DOMAINS = ("a", "b", "c")
+TARGETS = ("t-1", "t-2", "t-3")
+
+# Seconds after the return of the store within which an entry VM must have read it.
+RETURN_BOUND = 3.0
+
+CHECK_INTERVAL = 0.02  # seconds between two looks at all leases
+
+
+class _Platform:
+    """Targets of one group, and the platform's order that changes their primary."""
+
+    def __init__(self) -> None:
+        self.primary = "t-1"
+        self.term = 1
+        self.down: set[str] = set()
+        self.tokens: dict[int, str] = {}
+        self.replaced: list[str] = []
+
+    async def make_primary(self, group, target, holder, token, *, may_send, timeout):
+        """Change the primary unless the token is older than one that was used."""
+        if not may_send():
+            raise errors.PlatformError("late", step="order", peer="p", effect_unknown=False)
+        await asyncio.sleep(0.01)
+        if token < max(self.tokens, default=0) or target in self.down:
+            return False
+        assert self.tokens.setdefault(token, holder) == holder, "two holders used one token"
+        if target != self.primary:
+            self.replaced.append(self.primary)
+            self.primary, self.term = target, self.term + 1
+        return True
+
+    async def connect(self, entry, account, timeout):
+        """Return a connection to a target; only ``status`` and ``close`` work."""
+        await asyncio.sleep(0.002)
+        if entry.target in self.down:
+            raise errors.TargetError("down", step="connect", peer=entry.target, sent=False)
+
+        async def status(timeout):
+            return types.SimpleNamespace(
+                primary=entry.target == self.primary,
+                term=self.term,
+                position=model.Position(term=self.term, offset=10),
+            )
+
+        return types.SimpleNamespace(status=status, close=lambda: None)
+
+
+class _Executor:
+    async def wait_for_writes(self, group) -> None:
+        """Return at once; no writes are in progress."""
+
+
+class _Detector:
+    def __init__(self, *, platform: _Platform) -> None:
+        self._platform = platform
+
+    async def is_lost(self, record, entry) -> bool:
+        """Return whether the primary is down."""
+        return record.primary in self._platform.down
+
+
+def _entry(target: str) -> records.TargetEntry:
+    return records.TargetEntry(
+        target=target,
+        group=GROUP,
+        address="127.0.0.1:1",
+        failure_domain="a",
+        slots=2,
+        draining=False,
+        primary=target == "t-1",
+    )
+
+
+class _World:
+    """A fleet of six entry VMs before one group, whose leases are checked all the time."""
+
+    def __init__(self, *, sparse: bool = False) -> None:
+        self.platform = _Platform()
+        self.fleet = store_fleet.Fleet(
+            size=6,
+            domains=DOMAINS,
+            sparse=sparse,
+            groups=(GROUP,),
+            add_parts=self._add_parts,
+            services=(*store_fleet.SERVICES, ("coordination", "promoter")),
+        )
+        self.store = self.fleet.store
+        # Looks at which a running entry VM had no lease, by second of the loop's clock.
+        self.without_lease: collections.Counter[int] = collections.Counter()
+        self.former_primaries: list[tuple[float, str, str]] = []
+
+    def _add_parts(self, app) -> None:
+        platform = self.platform
+        pool = types.SimpleNamespace(close_idle=lambda: None)
+        pools = types.SimpleNamespace(pool=lambda entry: pool)
+        for plugin in (lease, orders, promotion):
+            plugin.setup(app)
+        app.add_part("duty", "failover", lambda app: platform)
+        app.add_part("driver", "fake", lambda app: platform)
+        app.add_part("pooling", "pools", lambda app: pools)
+        app.add_part("pooling", "executor", lambda app: _Executor())
+        app.add_part("coordination", "detector", lambda app: _Detector(platform=platform))
+
+    async def start(self) -> None:
+        """Start all entry VMs, and wait until they all have a lease."""
+        for target in TARGETS:
+            self.store.put_target(_entry(target))
+        for member in self.fleet.listed:
+            self.fleet.start(member)
+        await asyncio.sleep(5.0)
+        assert all(self._lease(vm).valid for vm in self.fleet.running.values())
+        self._watcher = asyncio.create_task(self._check())
+
+    async def stop(self) -> None:
+        """Kill all entry VMs."""
+        self._watcher.cancel()
+        await self.fleet.stop()
+
+    async def write_for(self, seconds: float) -> None:
+        """Raise the version by changes of the configuration and of the target list."""
+        for number in range(round(seconds / 0.25)):
+            self.store.change_configuration()
+            self.store.put_target(dataclasses.replace(_entry("t-3"), slots=number + 1))
+            await asyncio.sleep(0.25)
+
+    async def restore(self, copy: store_fleet.Copy, away: float = 1.0) -> None:
+        """Take the store away for some seconds, and return it from an older copy."""
+        self.store.down = True
+        await asyncio.sleep(away)
+        self.store.restore(copy)
+        self.store.down = False
+
+    def view(self, name: str) -> view.StoreView:
+        """Return the copies of one entry VM."""
+        return self.fleet.running[name].app.part("coordination", "view")
+
+    def _lease(self, vm: store_fleet.EntryVm) -> lease.Lease:
+        return vm.app.part("coordination", "leases").lease(GROUP, vm.app.clock())
+
+    async def _check(self) -> None:
+        while True:
+            for name, vm in self.fleet.running.items():
+                now, held = vm.app.clock(), self._lease(vm)
+                if not held.valid:
+                    self.without_lease[int(now)] += 1
+                elif held.target != self.platform.primary:
+                    self.former_primaries.append((now, name, held.target))
+            await asyncio.sleep(CHECK_INTERVAL)
+
+
+def test_copy_adopts_the_state_of_a_restored_store():
+    """Guards against a copy that ignores the store until its versions pass those that are gone."""
+    old = records.ControlRow(key="a", version=90, value='"lost"')
+    new = records.ControlRow(key="a", version=40, value='"kept"')
+    changes = records.Changes(is_snapshot=True, rows=(old,), removed=(), version=95, as_of=1.0)
+    before = view.apply(view.EMPTY_COPY, changes)
+    restored = dataclasses.replace(changes, rows=(new,), version=50, as_of=8.0, era=2)
+    after = view.apply(before, restored)
+    assert [row.value for row in after.rows.values()] == ['"kept"']
+    assert (after.version, after.as_of) == (50, 8.0)
+    assert view.apply(after, changes) is after
+
+
+async def _serve_after_restore() -> _World:
+    world = _World()
+    await world.start()
+    copy = world.store.copy()
+    await world.write_for(4.0)
+    await world.restore(copy)
+    await asyncio.sleep(15.0)
+    await world.stop()
+    return world
+
+
+def test_leases_outlast_a_store_that_returns_from_an_older_copy():
+    """Guards against a fleet that stops using all primaries although none has changed.
+
+    On the users' day, all statements that need a primary were refused from 3.5 s after the return
+    of the store until its versions had passed those of the copies.
+    """
+    world = memory.run(_serve_after_restore())
+    assert not world.without_lease
+    assert not world.former_primaries
+
+
+async def _change_under_a_version_given_out_again(sparse: bool) -> list[str]:
+    world = _World(sparse=sparse)
+    await world.start()
+    copy = world.store.copy()
+    await world.write_for(2.0)
+    world.store.down = True
+    await asyncio.sleep(0.5)
+    world.store.restore(copy)
+    # The versions pass those that were lost before any entry VM calls again.
+    world.store.put_target(_entry("t-4"))
+    for _ in range(10):
+        world.store.change_configuration()
+    for number in range(20):
+        world.store.put_target(dataclasses.replace(_entry("t-3"), slots=number + 1))
+    world.store.down = False
+    await asyncio.sleep(RETURN_BOUND)
+    lacking = [name for name in world.fleet.running if world.view(name).target("t-4") is None]
+    lacking += [
+        name
+        for name, vm in world.fleet.running.items()
+        if vm.configuration.version != world.store.configuration_version
+    ]
+    await world.stop()
+    return lacking
+
+
+@pytest.mark.parametrize("sparse", [False, True])
+def test_change_under_a_version_given_out_again_is_not_missed(sparse):
+    """Guards against a change that was acknowledged and never adopted by any entry VM.
+
+    A watch call with a version of before the restore gets no 410 once the store has passed it.
+    """
+    assert not memory.run(_change_under_a_version_given_out_again(sparse))
+
+
+async def _lose_a_change_of_primary() -> _World:
+    world = _World()
+    await world.start()
+    copy = world.store.copy()
+    world.platform.down.add("t-1")
+    await asyncio.sleep(3.0)
+    assert world.platform.primary != "t-1"
+    world.platform.down.clear()
+    await world.restore(copy)
+    await asyncio.sleep(4.0)
+    world.platform.down.add(world.platform.primary)
+    await asyncio.sleep(8.0)
+    await world.stop()
+    return world
+
+
+def test_lost_change_of_primary_is_not_reverted():
+    """Guards against reads on a former primary that the restored record still names.
+
+    The next change must also use a token above that of the change whose record was lost.
+    """
+    world = memory.run(_lose_a_change_of_primary())
+    assert not world.former_primaries
+    assert len(world.platform.replaced) == 2
+    assert len(set(world.platform.tokens.values())) >= 1
+    # The last change needs a few seconds without the primary; all others must not be noticed.
+    assert sum(world.without_lease.values()) <= 6 * 4.0 / CHECK_INTERVAL
+
+
+async def _restart_beside_a_lost_change() -> _World:
+    world = _World()
+    await world.start()
+    copy = world.store.copy()
+    world.platform.down.add("t-1")
+    await asyncio.sleep(3.0)
+    world.platform.down.clear()
+    names = tuple(world.fleet.running)
+    for name in names:
+        await world.fleet.kill(name)
+    await world.restore(copy)
+    for member in world.fleet.listed:
+        world.fleet.start(member)
+    await asyncio.sleep(10.0)
+    assert all(world._lease(vm).valid for vm in world.fleet.running.values())
+    await world.stop()
+    return world
+
+
+def test_restarted_fleet_does_not_use_the_primary_of_a_restored_record():
+    """Guards against reads on a former primary by processes that know nothing of before."""
+    assert not memory.run(_restart_beside_a_lost_change()).former_primaries
+
+
+async def _lose_a_registration() -> _World:
+    world = _World()
+    newest = world.fleet.listed[-1]
+    world.fleet.listed = world.fleet.listed[:-1]
+    await world.start()
+    copy = world.store.copy()
+    await world.write_for(1.0)
+    world.fleet.start(newest)
+    await asyncio.sleep(2.0)
+    # The new entry VM reaches the primary, but neither the store nor its peers.
+    peer = world.fleet.running.pop(newest.vm)
+    peer.client.cut = True
+    peer.members._neighbours = ()
+    await world.restore(copy)
+    world.platform.down.add("t-1")
+    watched = asyncio.create_task(_record_leases(world, peer))
+    await asyncio.sleep(12.0)
+    watched.cancel()
+    world.fleet.running[newest.vm] = peer
+    await world.stop()
+    return world
+
+
+async def _record_leases(world: _World, vm: store_fleet.EntryVm) -> None:
+    while True:
+        held = world._lease(vm)
+        if held.valid and held.target != world.platform.primary:
+            world.former_primaries.append((vm.app.clock(), vm.app.name, held.target))
+        await asyncio.sleep(CHECK_INTERVAL)
+
+
+def test_change_waits_for_an_entry_vm_whose_registration_was_lost():
+    """Guards against a promotion while a process that the store forgot uses the old primary."""
+    world = memory.run(_lose_a_registration())
+    assert world.platform.replaced == ["t-1"]
+    assert not world.former_primaries
+
+
+async def _registrations_after_restore() -> tuple[int, dict]:
+    world = _World()
+    await world.start()
+    copy = world.store.copy()
+    await world.fleet.kill("a-0")
+    await world.write_for(1.0)
+    world.fleet.start(world.fleet.listed[0])
+    await asyncio.sleep(2.0)
+    rows = {key: row for key, row in copy.rows.items() if not key.startswith("members/a-")}
+    await world.restore(dataclasses.replace(copy, rows=rows))
+    await asyncio.sleep(RETURN_BOUND)
+    registered, listed = world.fleet.registered(), dict(world.store.rows)
+    await world.stop()
+    return registered, listed
+
+
+def test_entry_vms_whose_rows_were_lost_register_again():
+    """Guards against entry VMs that take themselves for registered while the store forgot them."""
+    registered, listed = memory.run(_registrations_after_restore())
+    assert registered == 6
+    assert sum(key.startswith("members/") for key in listed) == 6
+
+
+async def _restore_during_a_change() -> _World:
+    world = _World()
+    await world.start()
+    copy = world.store.copy()
+    world.platform.down.add("t-1")
+    while not any(json.loads(row.value).get("changing") for row in world.store.rows.values()):  # noqa: ASYNC110
+        await asyncio.sleep(0.005)
+    await world.restore(copy, away=0.3)
+    await asyncio.sleep(12.0)
+    assert all(world._lease(vm).valid for vm in world.fleet.running.values())
+    await world.stop()
+    return world
+
+
+def test_change_whose_start_was_lost_is_completed():
+    """Guards against a group without a primary after a change that the store forgot."""
+    world = memory.run(_restore_during_a_change())
+    assert world.platform.primary != "t-1"
+    assert not world.former_primaries
