Order the states of the store by its era before their versions

Cause: copies of the store, rows, confirmations by peers, leases and orders were ordered by the version alone. After a restore all states seemed older than the copies and were ignored, and a change under a version that was given out twice was never adopted.

The era in the responses of the store now comes before the version wherever two states are compared. A record of an ended era permits no use of its primary; a hub renews it while it holds a lease of that era, or else changes the primary with a token above all that may be lost. Leases of the ended era last until they expire or a newer record revokes them, recalls and orders of it are rejected, and entry VMs whose rows are lost stay members until their leases have expired. A restarted process does not rely on a restored configuration before its peers have reported theirs. In the first era, messages and rows are as before.

--- a/src/greengageshunt/admission/granted.py
+++ b/src/greengageshunt/admission/granted.py
@@ -103,13 +103,13 @@
         hubs: Hubs of each failure domain, or empty if each entry VM may be a holder.
         first_read_at: Monotonic seconds of the first read; negative infinity for the names that
             the process read first after its start.
-        version: Version of the control table that contained these names.
+        position: Era and version of the control table that contained these names.
         drops_candidate: Whether the preceding names had a possible holder that these lack.
     """
 
     names: tuple[str, ...]
     first_read_at: float
-    version: int
+    position: tuple[int, int]
     drops_candidate: bool = False
     hubs: tuple[tuple[str, ...], ...] = ()
 
@@ -136,7 +136,11 @@
 
 
 def may_grant(
-    account: str, vm: str, history: abc.Sequence[RegisteredNames], common_version: int, now: float
+    account: str,
+    vm: str,
+    history: abc.Sequence[RegisteredNames],
+    common: tuple[int, int],
+    now: float,
 ) -> bool:
     """Return whether an entry VM is a holder of an account and no earlier holder may still grant.
 
@@ -144,14 +148,14 @@
         account: Name of the client account.
         vm: Name of the entry VM.
         history: Registered names, newest first.
-        common_version: Version of the control table that all possible holders have read.
+        common: Era and version of the control table that all possible holders have read.
         now: Monotonic seconds.
     """
     for registered in history:
         if vm not in holders_of(account, registered):
             return False
         # A removed holder may not have read of its removal, and may still grant tokens.
-        read_by_all = registered.version <= common_version and not registered.drops_candidate
+        read_by_all = registered.position <= common and not registered.drops_candidate
         if read_by_all or now - registered.first_read_at >= HOLDER_HANDOVER:
             return True
     return bool(history)
@@ -373,7 +377,7 @@
             return Grant(tokens=0.0, reason="unknown account")
         if now >= self._view.copy(records.Section.CONTROL).as_of + lease.LEASE_SECONDS:
             return Grant(tokens=0.0, reason="the registered names are not confirmed")
-        if not may_grant(request.account, me, self._name_history, self._common_version(), now):
+        if not may_grant(request.account, me, self._name_history, self._common_position(), now):
             return Grant(tokens=0.0, reason="not a holder")
         newest = self._name_history[0]
         part = (1.0 - reserve_fraction(newest)) / len(holders_of(request.account, newest))
@@ -384,13 +388,13 @@
         )
         return Grant(tokens=tokens, reason="granted" if tokens else "no tokens left")
 
-    def _common_version(self) -> int:
-        """Return the newest version of the control table that all possible holders have read."""
+    def _common_position(self) -> tuple[int, int]:
+        """Return the newest era and version of the control table that all holders have read."""
         me = self._members.me.vm
-        own = self._view.copy(records.Section.CONTROL).version
-        reported = self._watch.reported_versions
+        own = self._view.copy(records.Section.CONTROL).position
+        reported = self._watch.reported_positions
         names = self._name_history[0].candidates if self._name_history else ()
-        return min((reported.get(vm, 0) for vm in names if vm != me), default=own)
+        return min((reported.get(vm, (0, 0)) for vm in names if vm != me), default=own)
 
     def _reserve(self, account: str, now: float) -> bucket.Bucket | None:
         """Return the own reserve of an account, or None if there is none."""
@@ -439,7 +443,8 @@
         rows = self._view.copy(records.Section.CONTROL).rows
         members = (row for key, row in rows.items() if key.startswith(view.MEMBER_PREFIX))
         # Rows received from peers may be newer than the version of the copy as a whole.
-        version = max((row.version for row in members), default=version)
+        copied = self._view.copy(records.Section.CONTROL)
+        position = max((row.position for row in members), default=copied.position)
         first_read_at = now if self._name_history else -math.inf
         recent = [
             earlier
@@ -449,12 +454,13 @@
         # The names before these were in force at the start of the last HOLDER_HANDOVER seconds.
         older = self._name_history[len(recent) : len(recent) + 1]
         newest = RegisteredNames(
-            names=names, hubs=self._hubs(names), first_read_at=first_read_at, version=version
+            names=names, hubs=self._hubs(names), first_read_at=first_read_at, position=position
         )
         if self._name_history and not self._name_history[0].candidates <= newest.candidates:
             newest = dataclasses.replace(newest, drops_candidate=True)
         self._name_history = (newest, *recent, *older)
-        logs.log_decision(logger, "adopt-holders", names=names, version=version)
+        era, version = position
+        logs.log_decision(logger, "adopt-holders", names=names, version=version, era=era)
 
     def _hubs(self, names: abc.Iterable[str]) -> tuple[tuple[str, ...], ...]:
         """Return the hubs of each failure domain, or nothing if all entry VMs are hubs."""
--- a/src/greengageshunt/codec.py
+++ b/src/greengageshunt/codec.py
@@ -1,9 +1,11 @@
 """Conversion between frozen data classes and plain values for JSON and CBOR."""
 
+import dataclasses
 import json
 from typing import Any, TypeVar
 
 import cattrs
+import cattrs.gen
 import cbor2
 
 from greengageshunt import model
@@ -12,6 +14,8 @@
 
 Rows = tuple[tuple[model.Value, ...], ...]
 
+_OMITTED = "omit_if_default"  # key in the metadata of a field
+
 _VALUE_TYPES = frozenset({str, int, float, bool, type(None)})
 
 
@@ -32,11 +36,31 @@
     return rows
 
 
+def added_field(default: Any) -> Any:
+    """Return a field that is left out of the plain value while it has its default.
+
+    Processes of an older build reject unknown fields. They accept a message or row as long as the
+    field has its default, for example during an upgrade.
+    """
+    return dataclasses.field(default=default, metadata={_OMITTED: True})
+
+
+def _added_fields(kind: Any) -> dict[str, Any]:
+    if not dataclasses.is_dataclass(kind):
+        return {}
+    fields = (field for field in dataclasses.fields(kind) if field.metadata.get(_OMITTED))
+    return {field.name: cattrs.gen.override(omit_if_default=True) for field in fields}
+
+
 def _create_converter(*, detailed: bool) -> cattrs.Converter:
     converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=detailed)
     converter.register_structure_hook(model.Value, _structure_value)
     converter.register_structure_hook_func(lambda kind: kind == Rows, _structure_rows)
     converter.register_unstructure_hook_func(lambda kind: kind == Rows, lambda rows: rows)
+    converter.register_unstructure_hook_factory(
+        lambda kind: bool(_added_fields(kind)),
+        lambda kind: cattrs.gen.make_dict_unstructure_fn(kind, converter, **_added_fields(kind)),
+    )
     return converter
 
 
--- a/src/greengageshunt/configuration/state.py
+++ b/src/greengageshunt/configuration/state.py
@@ -3,6 +3,7 @@
 import logging
 
 from greengageshunt import application, logs, model
+from greengageshunt.stores import rows
 
 logger = logging.getLogger(__name__)
 
@@ -12,11 +13,18 @@
 
 
 class ConfigurationState:
-    """Holds the configuration in force; its version never decreases."""
+    """Holds the configuration in force; its version never decreases.
+
+    That holds for a store, too, that was restored from an older copy: the operator writes what
+    was lost again, and callers have already seen its effect.
+    """
 
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
         self._current = EMPTY_CONFIGURATION
+        # Era of the store in which the configuration was read last.
+        self._era = rows.FIRST_ERA
+        self._kept_in_era = rows.FIRST_ERA
 
     @property
     def current(self) -> model.Configuration:
@@ -28,16 +36,29 @@
         """Version in force, 0 before the first."""
         return self._current.version
 
-    def adopt(self, configuration: model.Configuration, source: str) -> bool:
-        """Put a configuration into force if its version is newer; return whether it is.
+    def adopt(
+        self, configuration: model.Configuration, source: str, era: int = rows.FIRST_ERA
+    ) -> bool:
+        """Put a configuration into force if it is newer; return whether it is.
+
+        It is newer if its version is, or if its version was lost and written again with another
+        content.
 
         Args:
             configuration: Configuration.
             source: Name of the peer that sent it, ``platform`` or ``store``, for the log line.
+            era: Era of the store that holds it.
         """
-        if configuration.version <= self._current.version:
-            return False
         previous = self._current
+        if configuration.version < previous.version:
+            self._log_kept(configuration.version, era)
+            return False
+        if configuration.version == previous.version and (
+            era <= self._era or configuration == previous
+        ):
+            self._era = max(era, self._era)
+            return False
+        self._era = era
         self._current = configuration
         logs.log_decision(
             logger,
@@ -45,10 +66,20 @@
             version=configuration.version,
             previous=previous.version,
             source=source,
+            era=era,
         )
         self._app.events.emit("configuration-changed", configuration)
         return True
 
+    def _log_kept(self, stored: int, era: int) -> None:
+        """Log, once for each era, that a restored store holds an older configuration."""
+        if era <= self._kept_in_era:
+            return
+        self._kept_in_era = era
+        logs.log_decision(
+            logger, "keep-configuration", version=self.version, stored=stored, era=era
+        )
+
 
 def setup(app: application.Application) -> None:
     """Register the configuration in force."""
--- a/src/greengageshunt/coordination/lease.py
+++ b/src/greengageshunt/coordination/lease.py
@@ -6,6 +6,10 @@
 that replaces a primary first writes that a change is in progress. It promotes the successor only
 after every registered process has confirmed that it stopped using the old primary, or all leases
 have expired.
+
+After the store was restored from an older copy, a record that was written before permits no use of
+its primary: a later one may be lost. The leases of the era before stay valid until they expire or
+a record of the new era revokes them, and changes of primary wait for them as for all others.
 """
 
 import dataclasses
@@ -51,7 +55,10 @@
 def control_row(row: rows.Row) -> records.ControlRow:
     """Convert a row from the store's client to a row of the control table's copy."""
     return records.ControlRow(
-        key=row.key, version=int(row.etag), value=json.dumps(row.value, sort_keys=True)
+        key=row.key,
+        version=int(row.etag),
+        value=json.dumps(row.value, sort_keys=True),
+        era=row.era,
     )
 
 
@@ -62,6 +69,7 @@
     registered: bool,
     as_of: float,
     now: float,
+    era: int = rows.FIRST_ERA,
 ) -> Lease:
     """Return the lease of this entry VM on the primary of a record.
 
@@ -73,12 +81,15 @@
         as_of: Last time, in monotonic seconds, at which the store is known to have held no
             newer record.
         now: Monotonic seconds.
+        era: Era of the store to which ``as_of`` belongs.
     """
     expires_at = as_of + LEASE_SECONDS
     if record is None:
         reason = "no record of the group"
     elif record.changing:
         reason = "the primary is being changed"
+    elif record.era != era:
+        reason = "the record is of another era of the store"
     elif not registered:
         reason = "this process is not registered"
     elif now >= expires_at:
@@ -96,10 +107,37 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class KeptLease:
+    """Lease of an era of the store that has ended, and the record on which it is based."""
+
+    lease: Lease
+    record: records.PrimaryRecord
+
+
+def is_kept(kept: KeptLease, record: records.PrimaryRecord | None, now: float) -> bool:
+    """Return whether a lease of an ended era is still valid.
+
+    Args:
+        kept: The lease.
+        record: Record of the group in the present era, or None. One that was written before the
+            restore does not count: it may be older than that of the lease.
+        now: Monotonic seconds.
+    """
+    if now >= kept.lease.expires_at:
+        return False
+    if record is None or record.era <= kept.record.era:
+        return True
+    return not record.changing and record.primary == kept.lease.target
+
+
 class Leases:
     """Evaluates the leases of this entry VM on the primaries of all groups."""
 
     def __init__(self, *, app: application.Application) -> None:
+        self._app = app
+        self._kept: dict[str, KeptLease] = {}
+        app.events.connect("era-ended", self._keep_leases)
         self._view: view.StoreView = app.part("coordination", "view")
         self._members = app.part("coordination", "members")
 
@@ -111,13 +149,44 @@
             now: Monotonic seconds.
         """
         row = self._view.row(view.GROUP_PREFIX + group)
-        return evaluate(
-            self._view.primary_record(group),
+        record = self._view.primary_record(group)
+        copy = self._view.copy(records.Section.CONTROL)
+        current = evaluate(
+            record,
             version=row.version if row else 0,
             registered=self._members.registered,
-            as_of=self._view.copy(records.Section.CONTROL).as_of,
+            as_of=copy.as_of,
             now=now,
+            era=copy.era,
         )
+        kept = self._kept.get(group)
+        if current.valid or kept is None or not is_kept(kept, record, now):
+            return current
+        age = now + LEASE_SECONDS - kept.lease.expires_at
+        return dataclasses.replace(kept.lease, age=age)
+
+    def kept_record(self, group: str, now: float) -> records.PrimaryRecord | None:
+        """Return the record of a lease that is still valid although its era has ended, or None.
+
+        Args:
+            group: Name of the group.
+            now: Monotonic seconds.
+        """
+        kept = self._kept.get(group)
+        if kept is None or not is_kept(kept, self._view.primary_record(group), now):
+            return None
+        return kept.record
+
+    def _keep_leases(self, era: int) -> None:
+        """Keep the valid leases of an era that ends."""
+        now = self._app.clock()
+        kept = {}
+        for group, record in self._view.primary_records.items():
+            held = self.lease(group, now)
+            if held.valid:
+                basis = record if record.era == era else self._kept[group].record
+                kept[group] = KeptLease(lease=held, record=basis)
+        self._kept = kept
 
 
 def setup(app: application.Application) -> None:
--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -64,7 +64,8 @@
         row = self._view.row(view.MEMBER_PREFIX + self._me.vm)
         if row is None or not self._has_valid_row:
             return False
-        return self._view.copy(records.Section.CONTROL).version >= row.version
+        copy = self._view.copy(records.Section.CONTROL)
+        return copy.era == row.era and copy.version >= row.version
 
     @property
     def row_written(self) -> asyncio.Event:
@@ -79,6 +80,8 @@
         entry VM by its name, so the row is valid for both processes.
         """
         stored = self._view.members.get(self._me.vm)
+        if self._view.row(view.MEMBER_PREFIX + self._me.vm) is None:
+            return False
         if stored is None or stored.removed or stored.stopped:
             return False
         return view.to_member(stored) == view.to_member(self._me)
--- a/src/greengageshunt/coordination/orders.py
+++ b/src/greengageshunt/coordination/orders.py
@@ -21,7 +21,13 @@
 
 
 def may_send(
-    *, newest_version: int, version: int, registered: bool, as_of: float, now: float
+    *,
+    newest_version: int,
+    version: int,
+    registered: bool,
+    as_of: float,
+    now: float,
+    era_ended: bool = False,
 ) -> bool:
     """Return whether an order arrives before any order with a higher token.
 
@@ -33,9 +39,11 @@
         as_of: Last time, in monotonic seconds, at which the store is known to have held no newer
             row.
         now: Monotonic seconds.
+        era_ended: Whether the store was restored from an older copy since the row was written.
+            The row may be lost, so another entry VM need not have seen the token.
     """
     in_time = now + ORDER_TIMEOUT < as_of + lease.LEASE_SECONDS
-    return registered and newest_version == version and in_time
+    return registered and newest_version == version and in_time and not era_ended
 
 
 class Orders:
@@ -95,6 +103,7 @@
             registered=self._registry.registered,
             as_of=self._view.copy(records.Section.CONTROL).as_of,
             now=now,
+            era_ended=self._view.newest_era != row.era,
         )
 
 
--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -50,6 +50,13 @@
     + 2.0
 )
 
+# Fencing tokens that each era of the store has for itself. A token of an ended era may have been
+# used although its record is lost, so the tokens of the next era are above all of them.
+TOKENS_PER_ERA = 1_000_000
+
+# Seconds by which a lease of an ended era must outlast the write that renews its record.
+RENEWAL_MARGIN = 1.0
+
 # Minimum seconds between two attempts to replace the primary of the same group.
 CHANGE_INTERVAL = 1.0
 
@@ -91,10 +98,30 @@
     )
 
 
-def newest_primary(statuses: tuple[Status, ...]) -> Status | None:
-    """Return the target with the newest term among those that report to be the primary."""
+def newest_primary(statuses: tuple[Status, ...], recorded_term: int = 0) -> Status | None:
+    """Return the target that reports to be the primary in the newest term, or None.
+
+    Args:
+        statuses: Answers of the group's targets.
+        recorded_term: Newest term that a record of the group names. A primary of an earlier term
+            than this or than that of a replica has been replaced.
+    """
     primaries = [status for status in statuses if status.primary]
-    return max(primaries, key=lambda status: status.term, default=None)
+    newest_term = max((status.term for status in statuses), default=0)
+    newest = max(primaries, key=lambda status: status.term, default=None)
+    if newest is None or newest.term < max(newest_term, recorded_term):
+        return None
+    return newest
+
+
+def next_token(token: int, era: int) -> int:
+    """Return a fencing token that is above a known one and all those of ended eras.
+
+    Args:
+        token: Highest token that is known.
+        era: Era of the store in which the token is used.
+    """
+    return max(token, (era - rows.FIRST_ERA) * TOKENS_PER_ERA) + 1
 
 
 class Promoter:
@@ -107,6 +134,7 @@
         self._app = app
         self._store = app.selected("platform")
         self._orders: orders.Orders = app.part("coordination", "orders")
+        self._leases: lease.Leases = app.part("coordination", "leases")
         self._driver = app.selected("driver")
         self._view: view.StoreView = app.part("coordination", "view")
         self._members = app.part("membership", "view")
@@ -158,6 +186,8 @@
         """
         if self._app.stopping or not self._registry.registered:
             return ()
+        if self._view.copy(records.Section.CONTROL).era < self._view.newest_era:
+            return ()
         live = self._members.live_hubs(now)
         groups = self._configuration.current.groups_by_name
         me = self._members.me.vm
@@ -178,21 +208,24 @@
     async def _check_once(self, group: str, now: float) -> None:
         record = self._view.primary_record(group)
         entries = self._view.targets_of(group)
-        if record is None:
+        if record is None and self._view.newest_record(group) is None:
             await self._create_record(group, entries)
             return
+        if record is None or record.era != self._view.copy(records.Section.CONTROL).era:
+            await self._renew_record(group, record, now)
+            return
         if record.changing:
             token, since = self._changing_since.get(group, (0, now))
             if token != record.token:
                 self._changing_since[group] = (record.token, now)
             elif now - since > self._takeover_delay(record, now):
-                await self._replace_primary(record, "the change was abandoned")
+                await self._replace_primary(group, record, "the change was abandoned")
             return
         entry = self._view.target(record.primary)
         if entry is not None and entry.draining:
-            await self._replace_primary(record, "the primary is draining")
+            await self._replace_primary(group, record, "the primary is draining")
         elif entries and await self._detector.is_lost(record, entry):
-            await self._replace_primary(record, "the primary is not reached")
+            await self._replace_primary(group, record, "the primary is not reached")
 
     def _takeover_delay(self, record: records.PrimaryRecord, now: float) -> float:
         """Return the seconds after which this entry VM takes over an unfinished change."""
@@ -219,42 +252,88 @@
             token=1,
             holder=self._members.me.vm,
             changing=False,
+            era=copy.era,
         )
         await self._write_record(record, None)
 
-    async def _replace_primary(self, record: records.PrimaryRecord, reason: str) -> None:
+    async def _renew_record(
+        self, group: str, record: records.PrimaryRecord | None, now: float
+    ) -> None:
+        """Write the record of a group for the first time in an era of the store.
+
+        While this process has a lease of the era before, no change of primary can have ended, and
+        none can end: it would need the answer of this process, which rejects recalls of that era.
+        So the primary stays. Otherwise, a change of primary settles which target leads.
+
+        Args:
+            group: Name of the group.
+            record: Record of an earlier era in the present state of the store, or None.
+            now: Monotonic seconds.
+
+        Raises:
+            PlatformError: The store or the platform did not answer.
+        """
+        kept = self._leases.kept_record(group, now + RENEWAL_MARGIN)
+        if kept is None:
+            await self._replace_primary(group, record, "the store was restored from an older copy")
+            return
+        renewed = dataclasses.replace(
+            kept, holder=self._members.me.vm, era=self._view.copy(records.Section.CONTROL).era
+        )
+        written = await self._write_record(renewed, self._view.row(view.GROUP_PREFIX + group))
+        if written is None:
+            self._not_before[group] = now + CHANGE_INTERVAL
+        logs.log_decision(
+            logger,
+            "renew-lead",
+            group=group,
+            primary=renewed.primary,
+            token=renewed.token,
+            era=renewed.era,
+            stored=record.primary if record else None,
+            stored_token=record.token if record else None,
+            outcome="recorded" if written else "conflict",
+        )
+
+    async def _replace_primary(
+        self, group: str, record: records.PrimaryRecord | None, reason: str
+    ) -> None:
         """Replace the primary of a group.
 
         Args:
-            record: Record on which the decision to replace the primary is based.
+            group: Name of the group.
+            record: Record on which the decision to replace the primary is based. After a restore
+                of the store, it may be older than one that this process has seen, or missing.
             reason: Reason for the log.
 
         Raises:
             PlatformError: The store or the platform did not answer.
         """
-        group = record.group
         row = self._view.row(view.GROUP_PREFIX + group)
-        if row is None or self._view.primary_record(group) != record:
+        newest = self._view.newest_record(group)
+        if newest is None or self._view.primary_record(group) != record:
             # Another entry VM changed the record while this one queried the hubs. A write on
             # top of the newer version would succeed and use the same token a second time.
             return
         self._not_before[group] = self._app.clock() + CHANGE_INTERVAL
+        era = self._view.copy(records.Section.CONTROL).era
         intent = dataclasses.replace(
-            record,
-            token=record.token + 1,
+            newest,
+            token=next_token(newest.token, era),
             holder=self._members.me.vm,
             incarnation=self._registry.me.incarnation,
             changing=True,
+            era=era,
         )
         started_at = self._app.clock()
         logs.log_decision(
             logger,
             "change-primary",
             group=group,
-            primary=record.primary,
+            primary=newest.primary,
             token=intent.token,
             reason=reason,
-            version=row.version,
+            version=row.version if row else 0,
         )
         intent_row = await self._write_record(intent, row)
         if intent_row is None:
@@ -295,7 +374,7 @@
     async def _write_record(
         self, record: records.PrimaryRecord, row: records.ControlRow | None
     ) -> records.ControlRow | None:
-        """Write a group's record; return its row, or None if the stored row has changed.
+        """Write a group's record; return its row, or None if the stored row or the era has changed.
 
         Args:
             record: Record to write.
@@ -312,6 +391,14 @@
                 logger, "write-lead", group=record.group, version=etag, outcome="conflict"
             )
             return None
+        if written.era != record.era:
+            # The condition named a version of the era before, so the write proves nothing. Readers
+            # ignore the record, as its own era has ended.
+            self._view.note_era(written.era)
+            logs.log_decision(
+                logger, "write-lead", group=record.group, era=written.era, outcome="era ended"
+            )
+            return None
         stored = lease.control_row(written)
         self._view.apply_row(stored)
         return stored
@@ -323,6 +410,9 @@
 
         Args:
             row: Row of the record that marks the change as in progress.
+
+        Raises:
+            PlatformError: The store was restored from an older copy since the row was written.
         """
         started_at = self._app.clock()
         until = started_at + lease.LEASE_SECONDS + lease.CLOCK_DRIFT_MARGIN_SECONDS
@@ -330,7 +420,7 @@
         await self._executor.wait_for_writes(record.group)
         # A process that registered before the row was written may hold a lease, so the copy of
         # the members must be complete up to the row's version.
-        while self._view.copy(records.Section.CONTROL).version < row.version:
+        while self._view.copy(records.Section.CONTROL).position < row.position:
             if self._app.clock() >= until:
                 break
             await asyncio.sleep(POLL_INTERVAL)
@@ -341,6 +431,13 @@
         )
         while pending and self._app.clock() < until:
             pending = await self._request_recall(pending, row)
+            if self._view.newest_era > row.era:
+                raise errors.PlatformError(
+                    f"the store's era changed from {row.era} to {self._view.newest_era}",
+                    step="recall leases",
+                    peer="store",
+                    effect_unknown=False,
+                )
             if pending:
                 remaining = max(0.0, until - self._app.clock())
                 await asyncio.sleep(min(RECALL_RETRY_INTERVAL, remaining))
@@ -365,7 +462,10 @@
         answers = await asyncio.gather(
             *(self._request(vm, request, RECALL_TIMEOUT) for vm in pending)
         )
-        answered = {answer.vm for answer in answers if answer is not None}
+        received = [answer for answer in answers if answer is not None]
+        for answer in received:
+            self._view.note_era(answer.era)
+        answered = {answer.vm for answer in received if answer.era <= row.era}
         members = self._view.members
         stopped = {vm for vm in pending if vm in members and members[vm].stopped}
         return pending - answered - stopped
@@ -373,7 +473,7 @@
     async def _select_successor(self, record: records.PrimaryRecord) -> Status | None:
         """Demote the old primary if it is draining; return the target to promote, or None."""
         statuses = await self._fetch_statuses(record.group)
-        current = newest_primary(statuses)
+        current = newest_primary(statuses, record.term)
         if current is not None and current.entry.target != record.primary:
             # The platform executed an earlier promotion request.
             return current
@@ -483,12 +583,14 @@
     async def _answer_recall(
         self, message: records.LeaseRecall, received_at: float
     ) -> records.LeaseRecalled:
+        if message.row.era < self._view.newest_era:
+            return records.LeaseRecalled(vm=self._members.me.vm, era=self._view.newest_era)
         self._view.apply_row(message.row)
         record = codec.from_json(message.row.value, records.PrimaryRecord)
         if record.changing:
             await self._executor.wait_for_writes(record.group)
             await self._orders.wait_for_order(record.group)
-        return records.LeaseRecalled(vm=self._members.me.vm)
+        return records.LeaseRecalled(vm=self._members.me.vm, era=self._view.newest_era)
 
 
 def setup(app: application.Application) -> None:
--- a/src/greengageshunt/coordination/records.py
+++ b/src/greengageshunt/coordination/records.py
@@ -4,7 +4,7 @@
 import enum
 from collections import abc
 
-from greengageshunt import model
+from greengageshunt import codec, model
 from greengageshunt.peers import messages
 from greengageshunt.stores import rows as store_rows
 
@@ -75,6 +75,8 @@
         changing: Whether a change of the primary is in progress. No entry VM may use the
             primary during a change.
         term: Term that the primary reported when it was recorded; 0 if unknown.
+        era: Era of the store in which the record was written. In a later era, the record may be
+            older than one that is lost, so it permits no use of the primary.
     """
 
     group: str
@@ -84,6 +86,7 @@
     changing: bool
     incarnation: str = ""
     term: int = 0
+    era: int = codec.added_field(store_rows.FIRST_ERA)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -94,11 +97,18 @@
         key: Key of the row.
         version: Version of the row.
         value: JSON document.
+        era: Era of the store in which the row had this version.
     """
 
     key: str
     version: int
     value: str
+    era: int = codec.added_field(store_rows.FIRST_ERA)
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and version, which order all states of the row."""
+        return self.era, self.version
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -108,6 +118,12 @@
     key: str
     version: int
     entry: TargetEntry | None
+    era: int = codec.added_field(store_rows.FIRST_ERA)
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and version, which order all states of the row."""
+        return self.era, self.version
 
 
 Row = ControlRow | TargetRow
@@ -135,6 +151,11 @@
     era: int = store_rows.FIRST_ERA
     configuration: model.Configuration | None = None
 
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and version, which order all states of the section."""
+        return self.era, self.version
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CopyRequest:
@@ -160,6 +181,7 @@
         age: Seconds since the last time at which the store is known to have held nothing newer.
         control: Rows of the control table above the requested version.
         targets: Rows of the target list above the requested version.
+        era: Era of the store to which the copy belongs.
     """
 
     section: Section
@@ -168,6 +190,7 @@
     age: float
     control: tuple[ControlRow, ...] = ()
     targets: tuple[TargetRow, ...] = ()
+    era: int = codec.added_field(store_rows.FIRST_ERA)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -184,9 +207,16 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class LeaseRecalled:
-    """Response to ``LeaseRecall``: its sender applied the row and has no lease during a change."""
+    """Response to ``LeaseRecall``: its sender applied the row and has no lease during a change.
+
+    Attributes:
+        vm: Name of the sender.
+        era: Era of the store that the sender knows. If it is above the row's era, the sender did
+            not apply the row.
+    """
 
     vm: str
+    era: int = codec.added_field(store_rows.FIRST_ERA)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/greengageshunt/coordination/view.py
+++ b/src/greengageshunt/coordination/view.py
@@ -3,6 +3,9 @@
 A copy carries the version of the store up to which it is complete, and the last time at which the
 store is known to have held nothing newer. Peers that hold the same rows send each other that time,
 so the copy of an entry VM stays confirmed while the store rejects the entry VM's own calls.
+
+A store that is restored from an older copy gives out versions a second time, and its era rises.
+Eras come before versions in the order of all states, and a copy holds the rows of one era.
 """
 
 import dataclasses
@@ -15,6 +18,7 @@
 
 from greengageshunt import application, codec, logs, model
 from greengageshunt.coordination import records
+from greengageshunt.stores import rows as store_rows
 
 logger = logging.getLogger(__name__)
 
@@ -26,6 +30,11 @@
 # outage would remove all targets.
 MISSING_TARGET_GRACE = 2.5
 
+# Seconds for which an entry VM stays a member after the store was restored from a copy that lacks
+# its row. A live one registers again before. Any other may use a primary until its lease, of 6 s
+# and a margin, has expired, so a change of primary must still wait for it.
+MISSING_MEMBER_GRACE = 6.5
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class SectionCopy:
@@ -36,11 +45,18 @@
         version: Version of the store up to which the copy is complete; 0 before the first read.
         as_of: Last time, in monotonic seconds, at which the store is known to have held nothing
             newer.
+        era: Era of the store.
     """
 
     rows: abc.Mapping[str, Any]
     version: int = 0
     as_of: float = -math.inf
+    era: int = store_rows.FIRST_ERA
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Era and version, which order all states of the section."""
+        return self.era, self.version
 
     @functools.cached_property
     def digest(self) -> str:
@@ -53,11 +69,15 @@
 
 
 def apply(copy: SectionCopy, changes: records.Changes) -> SectionCopy:
-    """Return a copy with changes applied; changes older than the copy leave it as it is."""
-    if changes.version < copy.version:
+    """Return a copy with changes applied; changes older than the copy leave it as it is.
+
+    Changes of a newer era apply only if they hold all rows, since the copy's rows are of another.
+    """
+    is_new_era = changes.era > copy.era
+    if changes.position < copy.position or (is_new_era and not changes.is_snapshot):
         return copy
     # Rows newer than the changes came from peers or from writes of this entry VM.
-    newer = {key: row for key, row in copy.rows.items() if row.version > changes.version}
+    newer = {key: row for key, row in copy.rows.items() if row.position > changes.position}
     rows = {} if changes.is_snapshot else dict(copy.rows)
     rows.update((row.key, row) for row in changes.rows)
     for key in changes.removed:
@@ -65,10 +85,13 @@
     rows.update(newer)
     if rows == copy.rows:
         rows = copy.rows
-    return SectionCopy(rows=rows, version=changes.version, as_of=max(copy.as_of, changes.as_of))
+    as_of = changes.as_of if is_new_era else max(copy.as_of, changes.as_of)
+    return SectionCopy(rows=rows, version=changes.version, as_of=as_of, era=changes.era)
 
 
-def confirm(copy: SectionCopy, digest: str, version: int, as_of: float) -> SectionCopy:
+def confirm(
+    copy: SectionCopy, digest: str, version: int, as_of: float, era: int = store_rows.FIRST_ERA
+) -> SectionCopy:
     """Return a copy confirmed by a peer; a peer with other rows leaves it as it is.
 
     Args:
@@ -77,8 +100,9 @@
         version: Version of the store up to which the peer's copy is complete.
         as_of: Last time, in monotonic seconds of this entry VM, at which the peer knows that the
             store held nothing newer.
+        era: Era of the peer's copy.
     """
-    if digest != copy.digest or not copy.version:
+    if era != copy.era or digest != copy.digest or not copy.version:
         return copy
     return dataclasses.replace(
         copy, version=max(copy.version, version), as_of=max(copy.as_of, as_of)
@@ -96,17 +120,33 @@
         self._targets: dict[str, records.TargetEntry] = {}
         self._by_group: dict[str, tuple[records.TargetEntry, ...]] = {}
         self._missing_targets: dict[str, tuple[records.TargetEntry, float]] = {}
+        self._missing_members: dict[str, tuple[records.MemberEntry, float]] = {}
+        self._newest_records: dict[str, records.PrimaryRecord] = {}
+        self._newest_era = store_rows.FIRST_ERA
 
     @property
     def members(self) -> abc.Mapping[str, records.MemberEntry]:
-        """Registered entry VMs by name, including those marked as removed or stopped."""
-        return self._members
+        """Registered entry VMs by name, including those marked as removed or stopped.
+
+        They include, for a while, those whose rows a restored store lacks.
+        """
+        missing = {vm: entry for vm, (entry, _) in self._missing_members.items()}
+        return {**missing, **self._members}
 
     @property
     def primary_records(self) -> abc.Mapping[str, records.PrimaryRecord]:
         """Records of the groups' primaries by group name."""
         return self._primary_records
 
+    @property
+    def newest_era(self) -> int:
+        """Newest known era of the store; the copies may still be of an earlier one."""
+        return self._newest_era
+
+    def note_era(self, era: int) -> None:
+        """Record that the store has reached an era."""
+        self._newest_era = max(era, self._newest_era)
+
     def copy(self, section: records.Section) -> SectionCopy:
         """Return the copy of a section."""
         return self._copies[section]
@@ -119,6 +159,10 @@
         """Return the record of a group's primary, or None."""
         return self._primary_records.get(group)
 
+    def newest_record(self, group: str) -> records.PrimaryRecord | None:
+        """Return the record with the highest token that this process has seen, in any era."""
+        return self._newest_records.get(group)
+
     def target(self, name: str) -> records.TargetEntry | None:
         """Return the entry of a target, or None."""
         return self._targets.get(name)
@@ -136,22 +180,32 @@
             source: Origin of the changes for the log: ``store`` or the name of the peer.
         """
         before = self._copies[section]
-        if changes.version < before.version:
+        after = apply(before, changes)
+        if after is before:
             logs.log_decision(
                 logger,
                 "ignore-changes",
                 section=section,
                 source=source,
                 version=changes.version,
+                era=changes.era,
                 copied=before.version,
+                copied_era=before.era,
             )
-        self._copies[section] = after = apply(before, changes)
+            return
+        self.note_era(changes.era)
+        if section is records.Section.CONTROL and after.era > before.era and before.version:
+            self._app.events.emit("era-ended", before.era)
+            self._keep_missing_members(after)
+        self._copies[section] = after
         if after.rows is not before.rows:
             self._decode(section, before, after, source)
 
-    def confirm(self, section: records.Section, digest: str, version: int, as_of: float) -> None:
+    def confirm(
+        self, section: records.Section, digest: str, version: int, as_of: float, era: int
+    ) -> None:
         """Apply a peer's confirmation of a section, if its rows are equal."""
-        self._copies[section] = confirm(self._copies[section], digest, version, as_of)
+        self._copies[section] = confirm(self._copies[section], digest, version, as_of, era)
 
     def apply_row(self, row: records.ControlRow) -> None:
         """Apply one newer row of the control table, from a peer or a write of this entry VM.
@@ -160,14 +214,38 @@
         """
         copy = self._copies[records.Section.CONTROL]
         known = copy.rows.get(row.key)
-        if known is not None and known.version >= row.version:
+        if row.era < copy.era or (known is not None and known.position >= row.position):
             return
+        self.note_era(row.era)
         after = dataclasses.replace(copy, rows={**copy.rows, row.key: row})
         self._copies[records.Section.CONTROL] = after
         self._decode(records.Section.CONTROL, copy, after, "row")
 
-    def remove_missing_targets(self, now: float) -> None:
-        """Remove targets whose entries have been missing for longer than the grace period."""
+    def _keep_missing_members(self, restored: SectionCopy) -> None:
+        now = self._app.clock()
+        for vm, entry in self._members.items():
+            if MEMBER_PREFIX + vm not in restored.rows and not (entry.removed or entry.stopped):
+                self._missing_members[vm] = (entry, now)
+
+    def remove_missing(self, now: float) -> None:
+        """Remove targets and entry VMs that have been missing for longer than the grace period.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        self._remove_missing_targets(now)
+        expired = [
+            vm
+            for vm, (_, since) in self._missing_members.items()
+            if now - since > MISSING_MEMBER_GRACE
+        ]
+        for vm in expired:
+            del self._missing_members[vm]
+            logs.log_decision(logger, "drop-member", vm=vm, age=MISSING_MEMBER_GRACE)
+        if expired:
+            self._app.events.emit("control-changed", self._copies[records.Section.CONTROL].version)
+
+    def _remove_missing_targets(self, now: float) -> None:
         expired = [
             name
             for name, (_, since) in self._missing_targets.items()
@@ -199,6 +277,9 @@
             if key.startswith(GROUP_PREFIX):
                 record = codec.from_json(row.value, records.PrimaryRecord)
                 self._primary_records[record.group] = record
+                newest = self._newest_records.get(record.group)
+                if newest is None or record.token >= newest.token:
+                    self._newest_records[record.group] = record
                 fields = codec.to_plain(record)
                 logs.log_decision(
                     logger, "adopt-lead", version=row.version, source=source, **fields
@@ -206,6 +287,7 @@
             elif key.startswith(MEMBER_PREFIX):
                 member = codec.from_json(row.value, records.MemberEntry)
                 self._members[member.vm] = member
+                self._missing_members.pop(member.vm, None)
         except ValueError as error:
             logger.warning(
                 "row of the control table cannot be decoded",
@@ -247,4 +329,6 @@
     """Register the copies of the store's sections."""
     app.add_event("control-changed")
     app.add_event("targets-changed")
+    # Emitted with the number of the era while the copy of the control table is still of that era.
+    app.add_event("era-ended")
     app.add_part("coordination", "view", lambda app: StoreView(app=app))
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -61,6 +61,10 @@
 # Maximum seconds for which the first watch call of a section waits for the registration.
 REGISTRATION_WAIT = 1.0
 
+# Seconds from the start of a process within which peers report the version that they have in force.
+# They cover two heartbeats and the connections for them.
+PEER_REPORT_WAIT = 1.5
+
 _COPIED_SECTIONS = (records.Section.CONTROL, records.Section.TARGETS)
 
 
@@ -79,15 +83,20 @@
         self._waits: dict[records.Section, tuple[asyncio.Timeout, float]] = {}
         self._lost_at = dict.fromkeys(records.Section, -math.inf)
         self._copying: dict[records.Section, asyncio.Task[None]] = {}
-        self._reported_versions: dict[str, int] = {}
+        self._reported_positions: dict[str, tuple[int, int]] = {}
+        self._peer_eras: dict[str, int] = {}
         self._control_read = asyncio.Event()
         self._registered = asyncio.Event()
         self._configuration_as_of = -math.inf
         self._newest_reported_configuration = 0
+        self._configuration_era = rows.FIRST_ERA
+        self._started_at = app.clock()
         self._era = rows.FIRST_ERA
         self._links.add_heartbeat_value(
             "configuration-read", self._report_configuration, self._confirm_configuration
         )
+        # Registered before the value whose era it tells. Peers of an older build do not send it.
+        self._links.add_heartbeat_value("store-era", self._report_era, self._note_peer_era)
         self._links.add_heartbeat_value("store", self._heartbeat_value, self._apply_heartbeat_value)
         app.part("peers", "server").add_handler(records.CopyRequest, self._answer_copy)
 
@@ -97,9 +106,9 @@
         return self._control_read
 
     @property
-    def reported_versions(self) -> abc.Mapping[str, int]:
-        """Newest version of the control table that each peer reported, by the peer's name."""
-        return self._reported_versions
+    def reported_positions(self) -> abc.Mapping[str, tuple[int, int]]:
+        """Newest era and version of the control table that each peer reported, by its name."""
+        return self._reported_positions
 
     async def run(self) -> None:
         """Watch all sections until cancelled."""
@@ -112,19 +121,19 @@
             async with asyncio.TaskGroup() as group:
                 for section, wait in waits.items():
                     group.create_task(self._watch(section, wait), name=f"watch {section}")
-                group.create_task(self._remove_missing_targets())
+                group.create_task(self._remove_missing())
         finally:
             for task in self._copying.values():
                 task.cancel()
 
-    async def _remove_missing_targets(self) -> None:
+    async def _remove_missing(self) -> None:
         while True:
-            self._view.remove_missing_targets(self._app.clock())
+            self._view.remove_missing(self._app.clock())
             await asyncio.sleep(EXPIRY_INTERVAL)
 
     async def _watch(self, section: records.Section, wait: float) -> None:
         delay = MIN_RETRY_DELAY
-        known: int | None = None
+        known: tuple[int, int] | None = None  # era and version
         started = False
         failed = False
         while True:
@@ -143,7 +152,7 @@
                 changes = await self._until_store_returns(
                     section, self._read(section, known, hold), self._app.clock()
                 )
-                known = changes.version
+                known = changes.position
             except errors.HistoryLostError as error:
                 logs.log_decision(logger, "read-whole", section=section, reason=str(error))
                 known = None
@@ -176,7 +185,8 @@
             section: The section.
             waiting: The call or pause.
             began_at: Monotonic seconds; the wait ends if a call of another section failed later
-                than this, and the store answers that section again.
+                than this, and the store answers that section again, or if the store was restored
+                from an older copy.
 
         Raises:
             TimeoutError: The store returned.
@@ -235,6 +245,9 @@
             section: The section.
             configured: Seconds from the settings.
         """
+        deferred = self._configuration.version and self._configuration_as_of == -math.inf
+        if section is records.Section.CONFIGURATION and deferred:
+            return min(configured, PEER_REPORT_WAIT)
         if not self._members.is_hub:
             return max(configured, NON_HUB_WATCH_WAIT)
         if section is not records.Section.CONFIGURATION or self._members.full_mesh:
@@ -255,25 +268,37 @@
         if section is records.Section.CONFIGURATION:
             if self._newest_reported_configuration > self._configuration.version:
                 return False
+            if self._configuration_era < self._view.newest_era:
+                # A version that was written again may differ from the one that hubs confirm.
+                return False
             as_of = self._configuration_as_of
         else:
             as_of = self._view.copy(section).as_of
         return self._app.clock() - as_of < HUB_CONFIRMATION_TIMEOUTS[section]
 
     async def _read(
-        self, section: records.Section, known: int | None, wait: float
+        self, section: records.Section, known: tuple[int, int] | None, wait: float
     ) -> records.Changes:
         """Read all rows of a section, or wait for those that change after a known version.
 
         Raises:
-            HistoryLostError: The store no longer has the changes after the known version.
+            HistoryLostError: The store no longer has the changes after the known version, or it
+                was restored from an older copy since.
             PlatformError: The store did not answer.
         """
         if known is not None:
-            changes = await self._store.changes(section, known, wait)
+            era, version = known
+            changes = await self._store.changes(section, version, wait)
         else:
             changes = await self._store.read(section)
         self._note_era(section, known, changes)
+        if known is not None and changes.era != era:
+            # A restored store that has passed the known version again answers without an error.
+            raise errors.HistoryLostError(
+                f"the store's era changed from {era} to {changes.era}",
+                step=f"watch {section}",
+                peer="store",
+            )
         if section is records.Section.CONFIGURATION:
             self._adopt_configuration(changes)
         else:
@@ -284,8 +309,11 @@
         self, section: records.Section, known: int | None, changes: records.Changes
     ) -> None:
         """Log that the store was restored from an older copy, once for each time."""
-        if changes.era == self._era:
+        self._view.note_era(changes.era)
+        if changes.era <= self._era:
             return
+        # The store may hold calls of the era before until the end of their time.
+        self._end_waits(math.inf)
         stored = changes.configuration
         logs.log_decision(
             logger,
@@ -293,7 +321,7 @@
             section=section,
             era=changes.era,
             previous=self._era,
-            known=known,
+            known=known[1] if known else None,
             version=changes.version,
             copied={copied: self._view.copy(copied).version for copied in _COPIED_SECTIONS},
             configuration=self._configuration.version,
@@ -304,10 +332,28 @@
     def _adopt_configuration(self, changes: records.Changes) -> None:
         newest = changes.configuration
         if newest is not None:
-            self._configuration.adopt(newest, "store")
-        if self._configuration.version:
+            self._configuration.adopt(newest, "store", changes.era)
+        self._configuration_era = changes.era
+        if self._configuration.version and self._may_confirm_configuration(changes.era):
             self._record_configuration_read(changes.as_of)
 
+    def _may_confirm_configuration(self, era: int) -> bool:
+        """Return whether a read of the store shows that no newer configuration was accepted.
+
+        A restored store may lack one that peers still have in force. A process that has just
+        started therefore defers the confirmation until the first report of a peer, or until none
+        is to be expected.
+
+        Args:
+            era: Era of the store that was read.
+        """
+        if era == rows.FIRST_ERA or self._configuration_as_of > -math.inf:
+            return True
+        if self._newest_reported_configuration > self._configuration.version:
+            return False
+        waited = self._app.clock() - self._started_at
+        return self._newest_reported_configuration > 0 or waited >= PEER_REPORT_WAIT
+
     def _record_configuration_read(self, as_of: float) -> None:
         """Record a time at which the store is known to have held no newer configuration."""
         if as_of > self._configuration_as_of:
@@ -334,29 +380,45 @@
         if not available:
             self._lost_at[section] = self._app.clock()
             return
+        self._end_waits(self._lost_at[section])
+
+    def _end_waits(self, before: float) -> None:
+        """End the calls and pauses that began before a time, in monotonic seconds."""
         loop_now = asyncio.get_running_loop().time()
         for limit, began_at in self._waits.values():
-            if began_at < self._lost_at[section] and not limit.expired():
+            if began_at < before and not limit.expired():
                 limit.reschedule(loop_now)
 
+    def _report_era(self) -> int:
+        return self._view.copy(records.Section.CONTROL).era
+
+    def _note_peer_era(self, vm: str, era: int, sent_at: float) -> None:
+        self._peer_eras[vm] = era
+        if era > self._view.newest_era:
+            self._view.note_era(era)
+            self._end_waits(math.inf)
+
     def _heartbeat_value(self) -> dict[str, Any]:
         now = self._app.clock()
         report = {}
+        era = self._report_era()
         for section in _COPIED_SECTIONS:
             copy = self._view.copy(section)
-            if copy.version:
+            if copy.version and copy.era == era:
                 report[section.value] = [copy.version, copy.digest, now - copy.as_of]
         return report
 
     def _apply_heartbeat_value(self, vm: str, value: dict[str, Any], sent_at: float) -> None:
+        era = self._peer_eras.get(vm, rows.FIRST_ERA)
         for name, (version, digest, age) in value.items():
             section = records.Section(name)
             if section is records.Section.CONTROL:
-                self._reported_versions[vm] = max(version, self._reported_versions.get(vm, 0))
+                known = self._reported_positions.get(vm, (era, version))
+                self._reported_positions[vm] = max((era, version), known)
             copy = self._view.copy(section)
-            if digest == copy.digest and copy.version:
-                self._view.confirm(section, digest, version, sent_at - age)
-            elif version > copy.version and self._should_copy_from(vm, section):
+            if era == copy.era and digest == copy.digest and copy.version:
+                self._view.confirm(section, digest, version, sent_at - age, era)
+            elif (era, version) > copy.position and self._should_copy_from(vm, section):
                 self._copying[section] = asyncio.create_task(self._copy(vm, section))
 
     def _should_copy_from(self, vm: str, section: records.Section) -> bool:
@@ -378,9 +440,11 @@
         return vm in local or not local
 
     async def _copy(self, vm: str, section: records.Section) -> None:
-        """Copy a peer's newer rows, or all of its rows if some were removed."""
+        """Copy a peer's newer rows, or all of its rows if some were removed or its era is newer."""
+        copy = self._view.copy(section)
+        same_era = self._peer_eras.get(vm, rows.FIRST_ERA) == copy.era
         try:
-            if not await self._copy_after(vm, section, self._view.copy(section).version):
+            if not (same_era and await self._copy_after(vm, section, copy.version)):
                 await self._copy_after(vm, section, 0)
         except errors.GreengageshuntError as error:
             logger.info(
@@ -409,8 +473,10 @@
             removed=(),
             version=answer.version,
             as_of=sent_at - answer.age,
+            era=answer.era,
         )
-        if after and view.apply(self._view.copy(section), changes).digest != answer.digest:
+        copy = self._view.copy(section)
+        if after and (answer.era != copy.era or view.apply(copy, changes).digest != answer.digest):
             return False
         self._view.apply(section, changes, vm)
         return True
@@ -426,6 +492,7 @@
             version=copy.version,
             digest=copy.digest,
             age=self._app.clock() - copy.as_of,
+            era=copy.era,
             control=rows if control else (),
             targets=() if control else rows,
         )
--- a/src/greengageshunt/platform/store.py
+++ b/src/greengageshunt/platform/store.py
@@ -264,7 +264,7 @@
             configuration = _decode_configuration(present.get(_CONFIGURATION_KEY))
         else:
             decode = _decode_target if section is records.Section.TARGETS else _decode_control
-            decoded = tuple(decode(row) for row in present.values())
+            decoded = tuple(decode(row, era) for row in present.values())
         return records.Changes(
             is_snapshot=is_snapshot,
             rows=decoded,
@@ -307,24 +307,24 @@
         return None
 
 
-def _decode_target(row: dict[str, Any]) -> records.TargetRow:
+def _decode_target(row: dict[str, Any], era: int) -> records.TargetRow:
     try:
         entry = decoding.decode_target(row["key"], json.loads(_decode_value(row)))
     except (ValueError, TypeError, KeyError, binascii.Error, decoding.DecodeError) as error:
         fields = {"key": row.get("key"), "reason": str(error)}
         logger.warning("row of the target list cannot be decoded", extra=fields)
         entry = None
-    return records.TargetRow(key=row["key"], version=row["row-version"], entry=entry)
+    return records.TargetRow(key=row["key"], version=row["row-version"], entry=entry, era=era)
 
 
-def _decode_control(row: dict[str, Any]) -> records.ControlRow:
+def _decode_control(row: dict[str, Any], era: int) -> records.ControlRow:
     try:
         value = _decode_value(row)
     except (ValueError, TypeError, KeyError, binascii.Error) as error:
         fields = {"key": row.get("key"), "reason": str(error)}
         logger.warning("row of the control table cannot be decoded", extra=fields)
         value = ""
-    return records.ControlRow(key=row["key"], version=row["row-version"], value=value)
+    return records.ControlRow(key=row["key"], version=row["row-version"], value=value, era=era)
 
 
 def setup(app: application.Application) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -98,6 +98,25 @@
     world.store.lost_history_before = world.store.version + 1
 
 
+async def restore_store(world: "world_module.World", rng: random.Random) -> None:
+    """Take the store away, and return it from an older copy.
+
+    The operator and the targets then write their rows again; the product's own rows stay lost.
+    """
+    store = world.store
+    copy = store.copy()
+    await asyncio.sleep(rng.uniform(0.5, 8.0))
+    store.down = True
+    await asyncio.sleep(rng.uniform(0.2, 2.0))
+    newest = {key: value for key, (value, _) in store.rows.items() if key[0] in ("op", "servers")}
+    store.restore(copy)
+    for key in [key for key in store.rows if key[0] == "servers" and key not in newest]:
+        store.delete(*key)
+    for (table, key), value in newest.items():
+        store.put_raw(table, key, value)
+    store.down = False
+
+
 async def cut_store(world: "world_module.World", rng: random.Random) -> None:
     """Drop, cut or delay the traffic between some entry VMs and the store."""
     await _disturb(world, rng, list(world.store_relays))
--- a/tests/test_platform/test_entry.py
+++ b/tests/test_platform/test_entry.py
@@ -295,6 +295,35 @@
         await asyncio.sleep(0.05)
 
 
+async def test_restored_store_does_not_stop_service(fleet):
+    """Guards against entry VMs that ignore a store whose versions went back.
+
+    They would stop using the primary 6 s after the outage, until the versions have passed those
+    of before.
+    """
+    copy = fleet.store.copy()
+    caller = await entry_fleet.Caller.open(fleet.vms[0], "db_primary", "key-one")
+    for version in range(2, 20):
+        fleet.configure(version, keys={"one": ["key-one"], "two": ["key-two"]})
+        await asyncio.sleep(0.05)
+    await asyncio.sleep(2.5)  # until each watch call has returned the newest version
+    fleet.store.down = True
+    await asyncio.sleep(0.5)
+    fleet.store.restore(copy)
+    fleet.configure(19, keys={"one": ["key-one"], "two": ["key-two"]})
+    fleet.store.down = False
+    until = time.monotonic() + 9.0
+    while time.monotonic() < until:
+        lines, _ = await caller.run("WRITE restored data")
+        assert lines[-1].startswith("COMPLETE t-1"), lines
+        await asyncio.sleep(0.2)
+    fleet.configure(20, keys={"one": ["key-new"], "two": []})
+    until = time.monotonic() + REVOCATION_BOUND
+    while not (await caller.run("READ a"))[0][-1].startswith("ERROR DENIED"):
+        assert time.monotonic() < until
+        await asyncio.sleep(0.05)
+
+
 async def test_undecodable_rows_of_the_target_list_are_skipped(fleet):
     """Guards against a watch that ends at a row which it cannot decode."""
     fleet.store.put_raw("servers", "t-9", b"\xff\x00 not a document")
--- a/tests/test_soak/test_soak.py
+++ b/tests/test_soak/test_soak.py
@@ -29,6 +29,15 @@
     assert report.codes["ok"] > 100
 
 
+@pytest.mark.parametrize("seed", [201, 202])
+async def test_promises_hold_when_the_store_is_restored_under_faults(seed, tmp_path):
+    """Guards against a store that returns from older copies, among other faults, unnoticed."""
+    played = world.World(folder=tmp_path, seed=seed, size=4, restores=True)
+    report = await played.run(SECONDS)
+    assert not report.violations, report
+    assert report.codes["ok"] > 100
+
+
 def test_listeners_use_ports_that_outgoing_connections_do_not():
     """Guards against an outgoing connection that takes a listener's port before it is bound."""
     text = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text(encoding="ascii")
