--- a/src/greengageshunt/coordination/view.py
+++ b/src/greengageshunt/coordination/view.py
@@ -130,6 +130,8 @@
 
         They include, for a while, those whose rows a restored store lacks.
         """
+        if not self._missing_members:
+            return self._members
         missing = {vm: entry for vm, (entry, _) in self._missing_members.items()}
         return {**missing, **self._members}
 
--- a/src/greengageshunt/metrics/entry_page.py
+++ b/src/greengageshunt/metrics/entry_page.py
@@ -54,6 +54,7 @@
             "configuration_age_seconds": now - self._confirmation.confirmed_at(now),
             "targets_age_seconds": now - self._view.copy(records.Section.TARGETS).as_of,
             "control_age_seconds": now - self._view.copy(records.Section.CONTROL).as_of,
+            "store_era": self._view.copy(records.Section.CONTROL).era,
             "members": len(self._members.members),
             "members_live": len(self._members.live(now)),
             "hub": float(self._members.is_hub),
