Convert the store's clock anew in each era, and close connections in tests of its client

A restored store may have another clock. If it is ahead of the one before, the time as of which a copy is confirmed came out as late as the receipt of the response, so a lease could outlast what the store had said. The test failed on the code before: it has no era to convert by.

The tests of the client left connections to the garbage collector.

--- a/src/greengageshunt/platform/store.py
+++ b/src/greengageshunt/platform/store.py
@@ -47,8 +47,11 @@
     def __init__(self) -> None:
         self._offset: float | None = None
         self._latest_store_seconds = 0.0
+        self._era = rows.FIRST_ERA
 
-    def to_local(self, now_ms: Any, sent_at: float, received_at: float) -> float:
+    def to_local(
+        self, now_ms: Any, sent_at: float, received_at: float, era: int = rows.FIRST_ERA
+    ) -> float:
         """Return the local monotonic seconds at or before which the store read its rows.
 
         Args:
@@ -56,14 +59,16 @@
                 response has none.
             sent_at: Local seconds at which the request was sent.
             received_at: Local seconds at which the response was received.
+            era: Era of the response; each may have a clock of its own.
         """
         if not isinstance(now_ms, int | float):
             return sent_at
         seconds = now_ms / 1000.0
         difference = sent_at - seconds
-        if self._offset is None or seconds < self._latest_store_seconds:
-            # The store's clock went back, so the store was restarted.
+        went_back = seconds < self._latest_store_seconds  # the store was restarted
+        if self._offset is None or went_back or era != self._era:
             self._offset = difference
+        self._era = era
         self._latest_store_seconds = seconds
         self._offset = max(self._offset, difference)
         return max(sent_at, min(seconds + self._offset, received_at))
@@ -212,8 +217,9 @@
         document = self._document(response.body, step)
         if not _has_rows(document):
             raise self._error("response has no valid rows", step, effect_unknown=False)
-        as_of = self._clock.to_local(document.get("now-ms"), sent_at, self._app.clock())
-        return document, as_of, _era(response)
+        era = _era(response)
+        as_of = self._clock.to_local(document.get("now-ms"), sent_at, self._app.clock(), era)
+        return document, as_of, era
 
     async def _call(
         self, name: str, method: str, path: str, *, timeout: float, body: bytes = b""
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -18,7 +18,9 @@
     stand_in = table_store.TableStore()
     port = entry_fleet.free_port()
     await stand_in.start(port)
-    yield stand_in, _client(port)
+    client = _client(port)
+    yield stand_in, client
+    await _close(client)
     await stand_in.stop()
 
 
@@ -30,6 +32,12 @@
     return app.part("platform", "table")
 
 
+async def _close(client: store.TableStore) -> None:
+    """Close the idle connections; one that outlives its loop fails whenever it is collected."""
+    client._http_client._abort_idle_connections()
+    await asyncio.sleep(0)
+
+
 async def test_write_with_an_old_version_conflicts(store_and_client):
     """Guards against two entry VMs that both get a success for a write of the same version."""
     _, client = store_and_client
@@ -68,6 +76,15 @@
         await client.changes(records.Section.CONFIGURATION, 1, 0.1)
 
 
+def test_clock_of_a_restored_store_is_unrelated_to_that_of_before():
+    """Guards against a lease that lasts too long, because a restored store has another clock."""
+    clock = store._StoreClock()
+    clock.to_local(1_000.0, 10.0, 10.0)
+    # The store reads its rows at 20.0 by the local clock, on which its own one shows 56 s.
+    assert clock.to_local(56_000.0, 20.0, 23.0, 2) <= 20.0
+    assert clock.to_local(57_000.0, 20.5, 24.0, 2) <= 21.0
+
+
 async def test_watch_returns_at_the_first_change(store_and_client):
     """Guards against a change that is returned only at the end of the store's wait."""
     _, client = store_and_client
@@ -134,6 +151,7 @@
             await client.read(section)
         with pytest.raises(errors.PlatformError):
             await client.changes(section, 1, 0.0)
+    await _close(client)
     await runner.cleanup()
 
 
