Test restores of the store among other faults, in virtual time

Three parts of the fix that no test needed so far got one each: with the recall's rejection, the order's check or the check of the write's era taken out, exactly that test fails.

--- a/tests/test_coordination/test_orders.py
+++ b/tests/test_coordination/test_orders.py
@@ -102,6 +102,20 @@
     assert memory.run(_freeze_before_the_order()) == []
 
 
+async def _order_after_a_restore() -> list[int]:
+    platform = _Platform()
+    own_orders, store_view = _orders(platform)
+    store_view.note_era(2)
+    with pytest.raises(errors.PlatformError):
+        await own_orders.make_primary(INTENT, _row(INTENT, 7), "t-2")
+    return platform.tokens
+
+
+def test_holder_that_knows_of_a_restore_does_not_send_its_order():
+    """Guards against an order whose record the restored store has lost."""
+    assert memory.run(_order_after_a_restore()) == []
+
+
 class _Executor:
     async def wait_for_writes(self, group: str) -> None:
         """Return at once."""
--- a/tests/test_coordination/test_promotion.py
+++ b/tests/test_coordination/test_promotion.py
@@ -6,6 +6,7 @@
 from greengageshunt import application, config, errors, model
 from greengageshunt.coordination import detection, promotion, records, view
 from greengageshunt.membership import view as member_view
+from greengageshunt.stores import rows
 
 
 def _status(name: str, offset: int, *, term: int = 1, draining: bool = False) -> promotion.Status:
@@ -137,6 +138,27 @@
     assert store.writes == 0
 
 
+class _RestoredStore(_Store):
+    """Accepts writes in its second era."""
+
+    async def put_row(self, key: str, value: object, etag: str | None) -> rows.Row:
+        """Write the row."""
+        return rows.Row(key=key, value=value, etag="9", era=2)
+
+
+async def test_write_that_is_accepted_in_the_next_era_counts_as_failed():
+    """Guards against a change that replaces a record of a restored store which it never read.
+
+    The version in its condition was given out again.
+    """
+    promoter, store_view = _promoter(_RestoredStore(), _Part())
+    record = records.PrimaryRecord(group="g", primary="t-1", token=3, holder="vm-1", changing=True)
+    row = records.ControlRow(key="groups/g", version=5, value="{}")
+    assert await promoter._write_record(record, row) is None
+    assert store_view.row("groups/g") is None
+    assert store_view.newest_era == 2
+
+
 class _Links:
     """Confirms lease recalls for some entry VMs; requests to the others fail."""
 
--- a/tests/test_coordination/test_restored_store.py
+++ b/tests/test_coordination/test_restored_store.py
@@ -4,6 +4,7 @@
 import collections
 import dataclasses
 import json
+import random
 import types
 
 import pytest
@@ -31,6 +32,7 @@
         self.term = 1
         self.down: set[str] = set()
         self.tokens: dict[int, str] = {}
+        self.tokens_used_twice: list[int] = []
         self.replaced: list[str] = []
 
     async def make_primary(self, group, target, holder, token, *, may_send, timeout):
@@ -40,7 +42,8 @@
         await asyncio.sleep(0.01)
         if token < max(self.tokens, default=0) or target in self.down:
             return False
-        assert self.tokens.setdefault(token, holder) == holder, "two holders used one token"
+        if self.tokens.setdefault(token, holder) != holder:
+            self.tokens_used_twice.append(token)
         if target != self.primary:
             self.replaced.append(self.primary)
             self.primary, self.term = target, self.term + 1
@@ -258,6 +261,7 @@
     """
     world = memory.run(_lose_a_change_of_primary())
     assert not world.former_primaries
+    assert not world.platform.tokens_used_twice
     assert len(world.platform.replaced) == 2
     # The last change needs a few seconds without the primary; all others must not be noticed.
     assert sum(world.without_lease.values()) <= 6 * 4.0 / CHECK_INTERVAL
@@ -423,12 +427,15 @@
     assert not orders.may_send(**given, era_ended=True)
 
 
-async def _recall_of_an_ended_era() -> tuple[records.LeaseRecalled, bool]:
+async def _recall_of_an_ended_era(read: bool) -> tuple[records.LeaseRecalled, bool]:
     world = _World()
     await world.start()
-    await world.restore(world.store.copy())
-    await asyncio.sleep(1.0)
     vm = world.fleet.running["a-0"]
+    if read:
+        await world.restore(world.store.copy())
+        await asyncio.sleep(1.0)
+    else:
+        world.view("a-0").note_era(2)
     intent = dataclasses.replace(RECORD, changing=True, token=5)
     row = records.ControlRow(
         key=view.GROUP_PREFIX + GROUP, version=999, value=codec.to_json(intent)
@@ -439,12 +446,14 @@
     return answer, held
 
 
-def test_recall_of_an_ended_era_is_rejected():
+@pytest.mark.parametrize("read", [True, False])
+def test_recall_of_an_ended_era_is_rejected(read):
     """Guards against a change that began before the restore and ends after a record was renewed.
 
-    Its record is lost, so nobody else would know of the new primary.
+    Its record is lost, so nobody else would know of the new primary. The process may have read the
+    restored store, or know of the restore from a peer only.
     """
-    answer, held = memory.run(_recall_of_an_ended_era())
+    answer, held = memory.run(_recall_of_an_ended_era(read))
     assert answer.era == 2
     assert held
 
@@ -523,3 +532,73 @@
 def test_restart_of_all_processes_in_a_restored_store_confirms_what_is_left():
     """Guards against a fleet that waits forever for a version that nobody has any more."""
     assert 1 in memory.run(_confirmed_versions(all_restart=True))
+
+
+async def _restore_among_faults(world: _World, rng: random.Random) -> None:
+    copy = world.store.copy()
+    await asyncio.sleep(rng.uniform(0.0, 8.0))
+    newest = world.store.configuration_version
+    await world.restore(copy, away=rng.choice((0.0, 0.3, 2.0, 7.0)))
+    await asyncio.sleep(rng.choice((0.0, 1.0)))
+    # The operator and the targets write again what was lost.
+    while world.store.configuration_version < newest:
+        world.store.change_configuration()
+    for target in TARGETS:
+        world.store.put_target(_entry(target))
+
+
+async def _lose_the_primary(world: _World, rng: random.Random) -> None:
+    primary = world.platform.primary
+    world.platform.down.add(primary)
+    await asyncio.sleep(rng.uniform(0.2, 6.0))
+    world.platform.down.discard(primary)
+
+
+async def _restart(world: _World, rng: random.Random) -> None:
+    member = rng.choice(world.fleet.listed)
+    if member.vm in world.fleet.running:
+        await world.fleet.kill(member.vm)
+        await asyncio.sleep(rng.uniform(0.1, 3.0))
+        world.fleet.start(member)
+
+
+async def _cut_from_the_store(world: _World, rng: random.Random) -> None:
+    vm = rng.choice(list(world.fleet.running.values()))
+    vm.client.cut = True
+    await asyncio.sleep(rng.uniform(0.5, 8.0))
+    vm.client.cut = False
+
+
+async def _change_the_configuration(world: _World, rng: random.Random) -> None:
+    world.store.change_configuration()
+
+
+_FAULTS = (_lose_the_primary, _restart, _cut_from_the_store, _change_the_configuration)
+
+
+async def _play(seed: int) -> _World:
+    """Play restores and other faults that overlap, and check that the fleet recovers."""
+    rng = random.Random(seed)
+    world = _World(sparse=seed % 3 == 0)
+    await world.start()
+    running = [asyncio.create_task(_restore_among_faults(world, rng))]
+    for _ in range(12):
+        await asyncio.sleep(rng.uniform(0.0, 2.5))
+        fault = _restore_among_faults if rng.random() < 0.2 else rng.choice(_FAULTS)
+        running.append(asyncio.create_task(fault(world, rng)))
+    await asyncio.gather(*running)
+    await asyncio.sleep(16.0)
+    for name, vm in world.fleet.running.items():
+        assert world._lease(vm).valid, (name, world._lease(vm))
+        assert vm.configuration.version >= world.store.configuration_version, name
+    assert world.fleet.registered() == len(world.fleet.listed)
+    await world.stop()
+    return world
+
+
+@pytest.mark.parametrize("seed", range(24))
+def test_restores_among_other_faults(seed):
+    """Guards against a former primary in use, a token used twice, or a fleet that stays without."""
+    world = memory.run(_play(seed))
+    assert not world.former_primaries
+    assert not world.platform.tokens_used_twice
