Split the choice of a successor from the promoter, and do not log a restore at a start

What is asked of the targets during a change of primary moves to succession.py, unchanged. A process that starts in a later era no longer logs store-restored.

--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -12,10 +12,10 @@
 import logging
 from typing import Any
 
-from greengageshunt import application, codec, errors, logs, model
-from greengageshunt.coordination import detection, lease, orders, records, view
+from greengageshunt import application, codec, errors, logs
+from greengageshunt.coordination import detection, lease, orders, records, succession, view
 from greengageshunt.membership import ownership
-from greengageshunt.pooling import execution, pools
+from greengageshunt.pooling import execution
 from greengageshunt.stores import rows
 
 logger = logging.getLogger(__name__)
@@ -27,16 +27,7 @@
 
 RECALL_TIMEOUT = 0.5  # seconds for an entry VM's response to a ``LeaseRecall``
 RECALL_RETRY_INTERVAL = 0.2  # seconds between recalls to entry VMs that did not answer
-STATUS_TIMEOUT = 0.4  # seconds for a target's answer to a status or step-down call
-
-# Seconds for which a change waits until a replica has received the last commits of the primary
-# that stepped down. After that, the change proceeds with the replica that received most.
-CATCH_UP_TIMEOUT = 1.0
-
-# Seconds within which the successor must report that it is the primary.
-PROMOTION_TIMEOUT = 4.0
-
-POLL_INTERVAL = 0.08  # seconds between polls of the targets, or of the copy of the control table
+POLL_INTERVAL = 0.08  # seconds between looks at the copy of the control table
 
 # Seconds after which this entry VM takes over a change that another one started. If the process
 # that started it is gone, the delay is short; else it covers the longest duration of a change, so
@@ -45,8 +36,8 @@
 TAKEOVER_DELAY_HOLDER_ALIVE = (
     lease.LEASE_SECONDS
     + lease.CLOCK_DRIFT_MARGIN_SECONDS
-    + CATCH_UP_TIMEOUT
-    + PROMOTION_TIMEOUT
+    + succession.CATCH_UP_TIMEOUT
+    + succession.PROMOTION_TIMEOUT
     + 2.0
 )
 
@@ -61,59 +52,6 @@
 CHANGE_INTERVAL = 1.0
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Status:
-    """Answer of a target to a status call.
-
-    Attributes:
-        entry: Entry of the target.
-        primary: Whether the target takes itself for the primary.
-        term: Term in which the target is the primary or a replica.
-        position: Last position that the target received, or None if unknown.
-    """
-
-    entry: records.TargetEntry
-    primary: bool
-    term: int
-    position: model.Position | None
-
-
-def choose_successor(statuses: tuple[Status, ...], replaced: str) -> Status | None:
-    """Return the target to promote, which is the one with the newest position, or None.
-
-    Args:
-        statuses: Answers of the group's targets.
-        replaced: Name of the primary that is replaced.
-    """
-    zero = model.Position(term=0, offset=0)
-    candidates = [
-        status
-        for status in statuses
-        if status.entry.target != replaced and not status.entry.draining
-    ]
-    return max(
-        candidates,
-        key=lambda status: (status.position or zero, status.entry.target),
-        default=None,
-    )
-
-
-def newest_primary(statuses: tuple[Status, ...], recorded_term: int = 0) -> Status | None:
-    """Return the target that reports to be the primary in the newest term, or None.
-
-    Args:
-        statuses: Answers of the group's targets.
-        recorded_term: Newest term that a record of the group names. A primary of an earlier term
-            than this or than that of a replica has been replaced.
-    """
-    primaries = [status for status in statuses if status.primary]
-    newest_term = max((status.term for status in statuses), default=0)
-    newest = max(primaries, key=lambda status: status.term, default=None)
-    if newest is None or newest.term < max(newest_term, recorded_term):
-        return None
-    return newest
-
-
 def next_token(token: int, era: int) -> int:
     """Return a fencing token that is above a known one and all those of ended eras.
 
@@ -135,12 +73,11 @@
         self._store = app.selected("platform")
         self._orders: orders.Orders = app.part("coordination", "orders")
         self._leases: lease.Leases = app.part("coordination", "leases")
-        self._driver = app.selected("driver")
+        self._succession: succession.Succession = app.part("coordination", "succession")
         self._view: view.StoreView = app.part("coordination", "view")
         self._members = app.part("membership", "view")
         self._registry = app.part("coordination", "members")
         self._links = app.part("peers", "links")
-        self._pools: pools.TargetPools = app.part("pooling", "pools")
         self._executor: execution.Executor = app.part("pooling", "executor")
         self._detector: detection.Detector = app.part("coordination", "detector")
         self._configuration = app.part("configuration", "state")
@@ -339,7 +276,7 @@
         if intent_row is None:
             return
         await self._revoke_leases(intent_row)
-        successor = await self._select_successor(intent)
+        successor = await self._succession.select_successor(intent)
         if successor is None:
             logger.warning("no target can take over", extra={"group": group})
             return
@@ -353,7 +290,7 @@
         accepted = await self._orders.make_primary(intent, intent_row, successor.entry.target)
         if not accepted:
             return
-        status = await self._await_promotion(successor.entry)
+        status = await self._succession.await_promotion(successor.entry)
         final = dataclasses.replace(
             intent, primary=successor.entry.target, changing=False, term=status.term
         )
@@ -470,103 +407,6 @@
         stopped = {vm for vm in pending if vm in members and members[vm].stopped}
         return pending - answered - stopped
 
-    async def _select_successor(self, record: records.PrimaryRecord) -> Status | None:
-        """Demote the old primary if it is draining; return the target to promote, or None."""
-        statuses = await self._fetch_statuses(record.group)
-        current = newest_primary(statuses, record.term)
-        if current is not None and current.entry.target != record.primary:
-            # The platform executed an earlier promotion request.
-            return current
-        if current is None:
-            return choose_successor(statuses, record.primary)
-        if not current.entry.draining or choose_successor(statuses, record.primary) is None:
-            # The old primary is reachable again and still the primary, or nothing can replace it.
-            # A request to promote it with a new token fences off requests still in transit.
-            return current
-        await self._step_down(current)
-        return choose_successor(await self._await_catch_up(record.group, current), record.primary)
-
-    async def _step_down(self, old: Status) -> None:
-        try:
-            connection = await self._connect(old.entry)
-            try:
-                await connection.step_down(old.term + 1, STATUS_TIMEOUT)
-            finally:
-                connection.close()
-        except errors.TargetError as error:
-            logger.info(
-                "primary did not step down", extra={"peer": error.peer, "reason": str(error)}
-            )
-
-    async def _await_catch_up(self, group: str, old: Status) -> tuple[Status, ...]:
-        """Wait until a replica has received the old primary's last position.
-
-        Returns:
-            The newest statuses, also after ``CATCH_UP_TIMEOUT`` without such a replica.
-        """
-        until = self._app.clock() + CATCH_UP_TIMEOUT
-        while True:
-            statuses = await self._fetch_statuses(group)
-            newest = next((status for status in statuses if status.entry == old.entry), old)
-            successor = choose_successor(statuses, old.entry.target)
-            reached = (
-                successor is not None
-                and successor.position is not None
-                and newest.position is not None
-                and successor.position >= newest.position
-            )
-            if reached or self._app.clock() > until:
-                return statuses
-            await asyncio.sleep(POLL_INTERVAL)
-
-    async def _await_promotion(self, entry: records.TargetEntry) -> Status:
-        """Wait until a target reports that it is the primary, and return its status.
-
-        Raises:
-            TargetError: The target did not report it within ``PROMOTION_TIMEOUT``.
-        """
-        until = self._app.clock() + PROMOTION_TIMEOUT
-        while self._app.clock() < until:
-            status = await self._fetch_status(entry)
-            if status is not None and status.primary:
-                return status
-            await asyncio.sleep(POLL_INTERVAL)
-        raise errors.TargetError(
-            "the target did not become primary in time",
-            step="await promotion",
-            peer=entry.target,
-            sent=True,
-        )
-
-    async def _fetch_statuses(self, group: str) -> tuple[Status, ...]:
-        answers = await asyncio.gather(
-            *(self._fetch_status(entry) for entry in self._view.targets_of(group))
-        )
-        return tuple(status for status in answers if status is not None)
-
-    async def _fetch_status(self, entry: records.TargetEntry) -> Status | None:
-        try:
-            connection = await self._connect(entry)
-            try:
-                status = await connection.status(STATUS_TIMEOUT)
-            finally:
-                connection.close()
-        except errors.TargetError as error:
-            logger.info(
-                "target did not answer a status call",
-                extra={"peer": error.peer, "reason": str(error)},
-            )
-            return None
-        return Status(
-            entry=entry, primary=status.primary, term=status.term, position=status.position
-        )
-
-    async def _connect(self, entry: records.TargetEntry) -> Any:
-        # A system connection counts towards this entry VM's connection limit at the target, so
-        # idle connections make room for it.
-        self._pools.pool(entry).close_idle()
-        return await self._driver.connect(entry, "-", detection.PROBE_TIMEOUT)
-
     async def _notify_peers(self, row: records.ControlRow) -> None:
         """Send the row that ends a change to all registered entry VMs."""
         request = records.LeaseRecall(row=row)
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -91,7 +91,7 @@
         self._newest_reported_configuration = 0
         self._configuration_era = rows.FIRST_ERA
         self._started_at = app.clock()
-        self._era = rows.FIRST_ERA
+        self._era: int | None = None  # before the first response of the store
         self._links.add_heartbeat_value(
             "configuration-read", self._report_configuration, self._confirm_configuration
         )
@@ -306,10 +306,12 @@
         return changes
 
     def _note_era(
-        self, section: records.Section, known: int | None, changes: records.Changes
+        self, section: records.Section, known: tuple[int, int] | None, changes: records.Changes
     ) -> None:
         """Log that the store was restored from an older copy, once for each time."""
         self._view.note_era(changes.era)
+        if self._era is None:
+            self._era = changes.era
         if changes.era <= self._era:
             return
         # The store may hold calls of the era before until the end of their time.
--- a/src/greengageshunt/programs/entry.py
+++ b/src/greengageshunt/programs/entry.py
@@ -50,6 +50,7 @@
     "greengageshunt.pooling.host",
     "greengageshunt.coordination.detection",
     "greengageshunt.coordination.orders",
+    "greengageshunt.coordination.succession",
     "greengageshunt.coordination.promotion",
     "greengageshunt.frontends.readiness",
     "greengageshunt.platform.frontend",
--- a/tests/test_coordination/test_promotion.py
+++ b/tests/test_coordination/test_promotion.py
@@ -4,12 +4,12 @@
 import json
 
 from greengageshunt import application, config, errors, model
-from greengageshunt.coordination import detection, promotion, records, view
+from greengageshunt.coordination import detection, promotion, records, succession, view
 from greengageshunt.membership import view as member_view
 from greengageshunt.stores import rows
 
 
-def _status(name: str, offset: int, *, term: int = 1, draining: bool = False) -> promotion.Status:
+def _status(name: str, offset: int, *, term: int = 1, draining: bool = False) -> succession.Status:
     entry = records.TargetEntry(
         target=name,
         group="g",
@@ -20,24 +20,24 @@
         primary=False,
     )
     position = model.Position(term=term, offset=offset)
-    return promotion.Status(entry=entry, primary=False, term=term, position=position)
+    return succession.Status(entry=entry, primary=False, term=term, position=position)
 
 
 def test_target_with_the_newest_position_is_promoted():
     """Guards against a change of primary that loses acknowledged commits."""
     statuses = (_status("t-1", 9), _status("t-2", 7), _status("t-3", 8))
-    assert promotion.choose_successor(statuses, "t-1").entry.target == "t-3"
+    assert succession.choose_successor(statuses, "t-1").entry.target == "t-3"
 
 
 def test_newer_term_takes_precedence_over_a_longer_log():
     """Guards against the promotion of a target that holds commits of a replaced primary."""
     statuses = (_status("t-2", 9, term=1), _status("t-3", 5, term=2))
-    assert promotion.choose_successor(statuses, "t-1").entry.target == "t-3"
+    assert succession.choose_successor(statuses, "t-1").entry.target == "t-3"
 
 
 def test_draining_target_is_not_promoted():
     """Guards against a second change of primary right after the first."""
-    assert promotion.choose_successor((_status("t-2", 9, draining=True),), "t-1") is None
+    assert succession.choose_successor((_status("t-2", 9, draining=True),), "t-1") is None
 
 
 def _should_replace(**fields):
@@ -73,8 +73,8 @@
     """Guards against a former primary behind a partition that is taken for the primary."""
     old = dataclasses.replace(_status("t-1", 9, term=1), primary=True)
     new = dataclasses.replace(_status("t-2", 5, term=2), primary=True)
-    assert promotion.newest_primary((old, new, _status("t-3", 4))) is new
-    assert promotion.newest_primary((_status("t-3", 4),)) is None
+    assert succession.newest_primary((old, new, _status("t-3", 4))) is new
+    assert succession.newest_primary((_status("t-3", 4),)) is None
 
 
 class _Store:
@@ -112,6 +112,7 @@
         ("driver", "fake"),
         ("coordination", "orders"),
         ("coordination", "leases"),
+        ("coordination", "succession"),
         ("coordination", "members"),
         ("coordination", "detector"),
         ("peers", "server"),
--- a/tests/test_coordination/test_restored_store.py
+++ b/tests/test_coordination/test_restored_store.py
@@ -10,7 +10,7 @@
 import pytest
 
 from greengageshunt import codec, errors, model
-from greengageshunt.coordination import lease, orders, promotion, records, view, watch
+from greengageshunt.coordination import lease, orders, promotion, records, succession, view, watch
 from greengageshunt.standins import memory
 from support import store_fleet
 
@@ -113,7 +113,7 @@
         platform = self.platform
         pool = types.SimpleNamespace(close_idle=lambda: None)
         pools = types.SimpleNamespace(pool=lambda entry: pool)
-        for plugin in (lease, orders, promotion):
+        for plugin in (lease, orders, succession, promotion):
             plugin.setup(app)
         app.add_part("duty", "failover", lambda app: platform)
         app.add_part("driver", "fake", lambda app: platform)
@@ -384,10 +384,10 @@
     assert promotion.next_token(promotion.next_token(4, 2), 3) > promotion.next_token(9000, 2)
 
 
-def _status(target: str, *, term: int, primary: bool) -> promotion.Status:
+def _status(target: str, *, term: int, primary: bool) -> succession.Status:
     position = model.Position(term=term, offset=1)
     entry = dataclasses.replace(_entry(target), primary=primary)
-    return promotion.Status(entry=entry, primary=primary, term=term, position=position)
+    return succession.Status(entry=entry, primary=primary, term=term, position=position)
 
 
 def test_primary_of_an_earlier_term_has_been_replaced():
@@ -397,9 +397,9 @@
     """
     former = _status("t-1", term=3, primary=True)
     replica = _status("t-3", term=4, primary=False)
-    assert promotion.newest_primary((former, replica)) is None
-    assert promotion.newest_primary((former,), recorded_term=4) is None
-    assert promotion.newest_primary((former,), recorded_term=3) is former
+    assert succession.newest_primary((former, replica)) is None
+    assert succession.newest_primary((former,), recorded_term=4) is None
+    assert succession.newest_primary((former,), recorded_term=3) is former
 
 
 def test_kept_lease_ends_with_a_change_in_the_new_era():
