--- a/src/greengageshunt/admission/granted.py
+++ b/src/greengageshunt/admission/granted.py
@@ -195,7 +195,7 @@
         self._links = app.part("peers", "links")
         self._members = app.part("membership", "view")
         self._view: view.StoreView = app.part("coordination", "view")
-        self._watch = app.part("coordination", "watch")
+        self._copies = app.part("coordination", "copies")
         self._started_at = app.clock()
         self._name_history: tuple[RegisteredNames, ...] = ()
         self._reserves: dict[str, bucket.Bucket] = {}
@@ -392,7 +392,7 @@
         """Return the newest era and version of the control table that all holders have read."""
         me = self._members.me.vm
         own = self._view.copy(records.Section.CONTROL).position
-        reported = self._watch.reported_positions
+        reported = self._copies.reported_positions
         names = self._name_history[0].candidates if self._name_history else ()
         return min((reported.get(vm, (0, 0)) for vm in names if vm != me), default=own)
 
--- a/src/greengageshunt/coordination/view.py
+++ b/src/greengageshunt/coordination/view.py
@@ -22,6 +22,9 @@
 
 logger = logging.getLogger(__name__)
 
+# Sections of which copies are kept and exchanged.
+COPIED_SECTIONS = (records.Section.CONTROL, records.Section.TARGETS)
+
 GROUP_PREFIX = "groups/"
 MEMBER_PREFIX = "members/"
 
@@ -122,7 +125,7 @@
         self._missing_targets: dict[str, tuple[records.TargetEntry, float]] = {}
         self._missing_members: dict[str, tuple[records.MemberEntry, float]] = {}
         self._newest_records: dict[str, records.PrimaryRecord] = {}
-        self._newest_era = store_rows.FIRST_ERA
+        self._newest_era = 0
 
     @property
     def members(self) -> abc.Mapping[str, records.MemberEntry]:
@@ -142,12 +145,14 @@
 
     @property
     def newest_era(self) -> int:
-        """Newest known era of the store; the copies may still be of an earlier one."""
+        """Newest known era of the store, or 0; the copies may still be of an earlier one."""
         return self._newest_era
 
     def note_era(self, era: int) -> None:
         """Record that the store has reached an era."""
-        self._newest_era = max(era, self._newest_era)
+        known, self._newest_era = self._newest_era, max(era, self._newest_era)
+        if known and era > known:
+            self._app.events.emit("era-rose", era)
 
     def copy(self, section: records.Section) -> SectionCopy:
         """Return the copy of a section."""
@@ -331,6 +336,8 @@
     """Register the copies of the store's sections."""
     app.add_event("control-changed")
     app.add_event("targets-changed")
+    # Emitted with the number of a newer era as soon as it is known.
+    app.add_event("era-rose")
     # Emitted with the number of the era while the copy of the control table is still of that era.
     app.add_event("era-ended")
     app.add_part("coordination", "view", lambda app: StoreView(app=app))
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -1,4 +1,4 @@
-"""Watches the store's sections, and exchanges copies of them with peers."""
+"""Watches the store's sections."""
 
 import asyncio
 import contextlib
@@ -23,8 +23,6 @@
 # Factor on the maximum delay of an entry VM that is no hub: failed calls cost money, too.
 NON_HUB_RETRY_FACTOR = 4.0
 
-COPY_TIMEOUT = 0.5  # seconds for a peer's response to a ``CopyRequest``
-
 EXPIRY_INTERVAL = 0.5  # seconds between checks for targets that are missing from the store
 
 # Seconds without a confirmation from hubs after which an entry VM that is no hub reads a section
@@ -65,8 +63,6 @@
 # They cover two heartbeats and the connections for them.
 PEER_REPORT_WAIT = 1.5
 
-_COPIED_SECTIONS = (records.Section.CONTROL, records.Section.TARGETS)
-
 
 class StoreWatch:
     """Keeps the copies of the store's sections current, with one task for each section."""
@@ -82,9 +78,8 @@
         self._availability = dict.fromkeys(records.Section, False)
         self._waits: dict[records.Section, tuple[asyncio.Timeout, float]] = {}
         self._lost_at = dict.fromkeys(records.Section, -math.inf)
-        self._copying: dict[records.Section, asyncio.Task[None]] = {}
-        self._reported_positions: dict[str, tuple[int, int]] = {}
-        self._peer_eras: dict[str, int] = {}
+        # The store may hold calls of the era before until the end of their time.
+        app.events.connect("era-rose", lambda era: self._end_waits(math.inf))
         self._control_read = asyncio.Event()
         self._registered = asyncio.Event()
         self._configuration_as_of = -math.inf
@@ -95,21 +90,12 @@
         self._links.add_heartbeat_value(
             "configuration-read", self._report_configuration, self._confirm_configuration
         )
-        # Registered before the value whose era it tells. Peers of an older build do not send it.
-        self._links.add_heartbeat_value("store-era", self._report_era, self._note_peer_era)
-        self._links.add_heartbeat_value("store", self._heartbeat_value, self._apply_heartbeat_value)
-        app.part("peers", "server").add_handler(records.CopyRequest, self._answer_copy)
 
     @property
     def control_read(self) -> asyncio.Event:
         """Event that is set once the control table has been read."""
         return self._control_read
 
-    @property
-    def reported_positions(self) -> abc.Mapping[str, tuple[int, int]]:
-        """Newest era and version of the control table that each peer reported, by its name."""
-        return self._reported_positions
-
     async def run(self) -> None:
         """Watch all sections until cancelled."""
         waits = {
@@ -117,14 +103,10 @@
             records.Section.TARGETS: self._app.settings["store.targets_wait"],
             records.Section.CONTROL: self._app.settings["store.control_wait"],
         }
-        try:
-            async with asyncio.TaskGroup() as group:
-                for section, wait in waits.items():
-                    group.create_task(self._watch(section, wait), name=f"watch {section}")
-                group.create_task(self._remove_missing())
-        finally:
-            for task in self._copying.values():
-                task.cancel()
+        async with asyncio.TaskGroup() as group:
+            for section, wait in waits.items():
+                group.create_task(self._watch(section, wait), name=f"watch {section}")
+            group.create_task(self._remove_missing())
 
     async def _remove_missing(self) -> None:
         while True:
@@ -314,8 +296,6 @@
             self._era = changes.era
         if changes.era <= self._era:
             return
-        # The store may hold calls of the era before until the end of their time.
-        self._end_waits(math.inf)
         stored = changes.configuration
         logs.log_decision(
             logger,
@@ -325,7 +305,7 @@
             previous=self._era,
             known=known[1] if known else None,
             version=changes.version,
-            copied={copied: self._view.copy(copied).version for copied in _COPIED_SECTIONS},
+            copied={copied: self._view.copy(copied).version for copied in view.COPIED_SECTIONS},
             configuration=self._configuration.version,
             stored_configuration=stored.version if stored else None,
         )
@@ -391,114 +371,6 @@
             if began_at < before and not limit.expired():
                 limit.reschedule(loop_now)
 
-    def _report_era(self) -> int:
-        return self._view.copy(records.Section.CONTROL).era
-
-    def _note_peer_era(self, vm: str, era: int, sent_at: float) -> None:
-        self._peer_eras[vm] = era
-        if era > self._view.newest_era:
-            self._view.note_era(era)
-            self._end_waits(math.inf)
-
-    def _heartbeat_value(self) -> dict[str, Any]:
-        now = self._app.clock()
-        report = {}
-        era = self._report_era()
-        for section in _COPIED_SECTIONS:
-            copy = self._view.copy(section)
-            if copy.version and copy.era == era:
-                report[section.value] = [copy.version, copy.digest, now - copy.as_of]
-        return report
-
-    def _apply_heartbeat_value(self, vm: str, value: dict[str, Any], sent_at: float) -> None:
-        era = self._peer_eras.get(vm, rows.FIRST_ERA)
-        for name, (version, digest, age) in value.items():
-            section = records.Section(name)
-            if section is records.Section.CONTROL:
-                known = self._reported_positions.get(vm, (era, version))
-                self._reported_positions[vm] = max((era, version), known)
-            copy = self._view.copy(section)
-            if era == copy.era and digest == copy.digest and copy.version:
-                self._view.confirm(section, digest, version, sent_at - age, era)
-            elif (era, version) > copy.position and self._should_copy_from(vm, section):
-                self._copying[section] = asyncio.create_task(self._copy(vm, section))
-
-    def _should_copy_from(self, vm: str, section: records.Section) -> bool:
-        """Return whether to request the newer copy of a peer now.
-
-        Traffic between failure domains costs money, so an entry VM that is no hub requests copies
-        within its own domain while a hub there answers.
-        """
-        if section in self._copying:
-            return False
-        if self._members.is_hub:
-            return True
-        domain = self._members.me.failure_domain
-        local = {
-            hub.vm
-            for hub in self._members.live_hubs(self._app.clock())
-            if hub.failure_domain == domain
-        }
-        return vm in local or not local
-
-    async def _copy(self, vm: str, section: records.Section) -> None:
-        """Copy a peer's newer rows, or all of its rows if some were removed or its era is newer."""
-        copy = self._view.copy(section)
-        same_era = self._peer_eras.get(vm, rows.FIRST_ERA) == copy.era
-        try:
-            if not (same_era and await self._copy_after(vm, section, copy.version)):
-                await self._copy_after(vm, section, 0)
-        except errors.GreengageshuntError as error:
-            logger.info(
-                "no copy of a section received from a peer",
-                extra={"peer": vm, "reason": str(error)},
-            )
-        finally:
-            self._copying.pop(section, None)
-
-    async def _copy_after(self, vm: str, section: records.Section, after: int) -> bool:
-        """Copy a peer's rows above a version; return False if that does not suffice.
-
-        The result then differs from the peer's copy and is not applied: rows were removed, which
-        only a copy of all rows can show.
-
-        Raises:
-            PeerError: The peer did not answer.
-            RefusedError: The peer rejected the request.
-        """
-        sent_at = self._app.clock()
-        request = records.CopyRequest(section=section, after=after)
-        answer = await self._links.request(vm, request, COPY_TIMEOUT)
-        changes = records.Changes(
-            is_snapshot=not after,
-            rows=answer.control if section is records.Section.CONTROL else answer.targets,
-            removed=(),
-            version=answer.version,
-            as_of=sent_at - answer.age,
-            era=answer.era,
-        )
-        copy = self._view.copy(section)
-        if after and (answer.era != copy.era or view.apply(copy, changes).digest != answer.digest):
-            return False
-        self._view.apply(section, changes, vm)
-        return True
-
-    async def _answer_copy(
-        self, message: records.CopyRequest, received_at: float
-    ) -> records.CopyAnswer:
-        copy = self._view.copy(message.section)
-        rows = tuple(row for row in copy.rows.values() if row.version > message.after)
-        control = message.section is records.Section.CONTROL
-        return records.CopyAnswer(
-            section=message.section,
-            version=copy.version,
-            digest=copy.digest,
-            age=self._app.clock() - copy.as_of,
-            era=copy.era,
-            control=rows if control else (),
-            targets=() if control else rows,
-        )
-
 
 def setup(app: application.Application) -> None:
     """Register the store watch."""
--- a/src/greengageshunt/programs/entry.py
+++ b/src/greengageshunt/programs/entry.py
@@ -38,6 +38,7 @@
     "greengageshunt.peers.links",
     "greengageshunt.coordination.view",
     "greengageshunt.coordination.watch",
+    "greengageshunt.coordination.copies",
     "greengageshunt.coordination.members",
     "greengageshunt.coordination.lease",
     "greengageshunt.membership.confirmation",
--- a/tests/support/store_fleet.py
+++ b/tests/support/store_fleet.py
@@ -12,7 +12,7 @@
 from collections import abc
 
 from greengageshunt import application, config, errors, model
-from greengageshunt.coordination import members, records, view, watch
+from greengageshunt.coordination import copies, members, records, view, watch
 from greengageshunt.membership import view as member_view
 from greengageshunt.stores import rows
 
@@ -259,7 +259,7 @@
     tasks: list[asyncio.Task]
 
 
-SERVICES = (("coordination", "watch"), ("coordination", "members"))
+SERVICES = (("coordination", "watch"), ("coordination", "copies"), ("coordination", "members"))
 
 
 class Fleet:
@@ -313,7 +313,7 @@
         app.add_part("configuration", "state", lambda app: configuration)
         app.add_part("peers", "links", lambda app: links)
         app.add_part("peers", "server", lambda app: links)
-        for plugin in (view, watch, members):
+        for plugin in (view, watch, copies, members):
             plugin.setup(app)
         self._add_parts(app)
         values = {
--- a/tests/test_admission/test_granted.py
+++ b/tests/test_admission/test_granted.py
@@ -63,7 +63,7 @@
     return model.Member(vm=vm, failure_domain=_domain(vm), peer_address="127.0.0.1:1")
 
 
-class _Watch:
+class _Copies:
     def __init__(self) -> None:
         self.reported_positions: dict[str, tuple[int, int]] = {}
 
@@ -88,7 +88,7 @@
     app.add_part("peers", "server", lambda app: peers)
     app.add_part("peers", "links", lambda app: peers)
     app.add_part("membership", "view", lambda app: _MemberView(me=_member(vm)))
-    app.add_part("coordination", "watch", lambda app: _Watch())
+    app.add_part("coordination", "copies", lambda app: _Copies())
     granted.setup(app)
     values = {"limits.tolerance": 0.0, "limits.slack": 0.0, "limits.window": WINDOW, **limits}
     app.configure(config.Settings(values=values, source="test"))
--- a/tests/test_coordination/test_restored_store.py
+++ b/tests/test_coordination/test_restored_store.py
@@ -481,11 +481,11 @@
     await world.start()
     await world.restore(world.store.copy())
     await asyncio.sleep(1.0)
-    own_watch = world.fleet.running["a-0"].app.part("coordination", "watch")
+    exchange = world.fleet.running["a-0"].app.part("coordination", "copies")
     copy = world.view("a-0").copy(records.Section.CONTROL)
     later = copy.as_of + 50.0
     # A process of an older build sends the same value, but no era.
-    own_watch._apply_heartbeat_value("old", {"control": [copy.version, copy.digest, 0.0]}, later)
+    exchange._apply_heartbeat_value("old", {"control": [copy.version, copy.digest, 0.0]}, later)
     as_of = world.view("a-0").copy(records.Section.CONTROL).as_of
     await world.stop()
     return as_of, later
--- a/tests/test_coordination/test_watch.py
+++ b/tests/test_coordination/test_watch.py
@@ -6,7 +6,7 @@
 import pytest
 
 from greengageshunt import application, config, errors, model
-from greengageshunt.coordination import records, view, watch
+from greengageshunt.coordination import copies, records, view, watch
 from greengageshunt.membership import view as member_view
 from greengageshunt.platform import store
 from greengageshunt.standins import memory
@@ -17,8 +17,8 @@
 class _Links:
     """Stands in for the peer links of one entry VM, and records its requests."""
 
-    def __init__(self, *, watches: dict[str, watch.StoreWatch]) -> None:
-        self._watches = watches
+    def __init__(self, *, exchanges: dict[str, copies.CopyExchange]) -> None:
+        self._exchanges = exchanges
         self.requests: list[tuple[str, records.CopyRequest]] = []
 
     def add_heartbeat_value(self, name, source, sink, **options) -> None:
@@ -27,7 +27,7 @@
     async def request(self, vm, message, timeout):
         """Return the response of the peer's handler."""
         self.requests.append((vm, message))
-        return await self._watches[vm]._answer_copy(message, 0.0)
+        return await self._exchanges[vm]._answer_copy(message, 0.0)
 
 
 class _Server:
@@ -79,6 +79,7 @@
             for index in range(15)
         )
         self.watches: dict[str, watch.StoreWatch] = {}
+        self.exchanges: dict[str, copies.CopyExchange] = {}
         self.links: dict[str, _Links] = {}
         self.stores: dict[str, _Store] = {}
         self.views: dict[str, view.StoreView] = {}
@@ -97,7 +98,7 @@
         app = application.Application(name=member.vm, clock=lambda: self.now)
         members_view = member_view.MemberView(me=member, clock=app.clock, sparse=True)
         members_view.replace(self.members)
-        store, links, registry = _Store(), _Links(watches=self.watches), _Registry()
+        store, links, registry = _Store(), _Links(exchanges=self.exchanges), _Registry()
         app.add_part("platform", "table", lambda app: store)
         app.add_part("membership", "view", lambda app: members_view)
         app.add_part("configuration", "state", lambda app: _Configuration())
@@ -106,6 +107,7 @@
         app.add_part("peers", "server", lambda app: _Server())
         view.setup(app)
         watch.setup(app)
+        copies.setup(app)
         values = {
             "parts.platform": "table",
             "store.configuration_wait": 1.0,
@@ -114,6 +116,7 @@
         }
         app.configure(config.Settings(values=values, source="test"))
         self.watches[member.vm] = app.part("coordination", "watch")
+        self.exchanges[member.vm] = app.part("coordination", "copies")
         self.links[member.vm], self.stores[member.vm] = links, store
         self.registries[member.vm] = registry
         self.views[member.vm] = app.part("coordination", "view")
@@ -135,10 +138,10 @@
 
     async def deliver_heartbeat(self, source: str, to: str) -> None:
         """Deliver a heartbeat value, and wait until the copies that it starts have ended."""
-        self.watches[to]._apply_heartbeat_value(
-            source, self.watches[source]._heartbeat_value(), self.now
+        self.exchanges[to]._apply_heartbeat_value(
+            source, self.exchanges[source]._heartbeat_value(), self.now
         )
-        while self.watches[to]._copying:  # noqa: ASYNC110 - copies have no event
+        while self.exchanges[to]._copying:  # noqa: ASYNC110 - copies have no event
             await asyncio.sleep(0)
 
 
