Add a review case: a planned stop cuts requests of late sessions

The listener stays open until the process exits, so sessions that the ingress sends to a stopping entry VM are accepted and then cut while an instance runs their statement.

--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -168,6 +168,7 @@
         self._reader = reader
         self._writer = writer
         self._record = record
+        self.last_id = ""
 
     @classmethod
     async def open(cls, vm: EntryVm, database: str, record: Record) -> "Caller":
@@ -192,7 +193,7 @@
             ConnectionError: The connection ended before the answer.
             TimeoutError: No answer in time.
         """
-        statement_id = f"{next(self._ids):016x}"
+        statement_id = self.last_id = f"{next(self._ids):016x}"
         self._record.write("sent", id=statement_id, text=text)
         self._writer.write(f"QUERY {statement_id} {text}\r\n".encode())
         lines = []
@@ -221,6 +222,7 @@
         zones: Zone of each entry VM.
         service_zones: Zone of each instance; the first one leads.
         sync_replicas: Replicas that must have received a commit before it is acknowledged.
+        work_seconds: Time that an instance takes for a read, a write or a commit.
     """
 
     def __init__(
@@ -230,6 +232,7 @@
         zones: abc.Sequence[str],
         service_zones: abc.Sequence[str] = ("a", "b", "c"),
         sync_replicas: int = 0,
+        work_seconds: float = 0.003,
     ) -> None:
         self.record = record
         self.store = store.Store(record=record.write)
@@ -239,6 +242,7 @@
             zones=service_zones,
             record=record.write,
             sync_replicas=sync_replicas,
+            work_seconds=work_seconds,
         )
         self.store.promote = self.service.promote
         self._folder = tempfile.TemporaryDirectory()
--- a/review/standins/instances.py
+++ b/review/standins/instances.py
@@ -161,6 +161,7 @@
         """Run one message and return its answer."""
         instance = self._instance
         _, statement_id, text = line.split(" ", 2)
+        instance.service.arrived.add(statement_id)
         if text.startswith("AFTER "):
             _, position, text = text.split(" ", 2)
             if _order(position) > _order(instance.position):
@@ -277,6 +278,7 @@
         ]
         self.primary: Instance | None = self.instances[0]
         self.runs: list[tuple[float, str, str, str, bool]] = []
+        self.arrived: set[str] = set()  # ids of the statements that reached an instance
 
     async def start(self) -> None:
         """Start all instances."""
