--- a/review/standins/instances.py
+++ b/review/standins/instances.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import json
-import time
 from collections import abc
 
 from standins import store as store_module
@@ -12,8 +11,6 @@
 REPLICA_LAG = 0.02  # time from a commit until the replicas have it
 PROMOTE_SECONDS = 1.0  # time from an order until the named instance leads
 HEARTBEAT_SECONDS = 1.2
-DRAIN_SECONDS = 7.0  # time for which a draining instance goes on serving, and a little longer
-DRAIN_EXTRA_SECONDS = 3.0
 
 
 class Instance:
@@ -24,8 +21,6 @@
         self.name = name
         self.zone = zone
         self.address = ""
-        self.state = "ready"
-        self.draining_at = 0.0
         self.stopped = False
         self.deaf = False
         self.log: list[tuple[int, str, str]] = []
@@ -72,16 +67,6 @@
         loop = asyncio.get_running_loop()
         loop.call_later(3 * HEARTBEAT_SECONDS, self.service.store.delete, "servers", self.name)
 
-    async def drain(self) -> None:
-        """Report that the instance leaves, serve for the time of a planned end, and exit."""
-        self.state = "draining"
-        self.register()
-        self.draining_at = time.monotonic()
-        self.service.record("instance", what="draining, acknowledged by the store", id=self.name)
-        await asyncio.sleep(DRAIN_SECONDS + DRAIN_EXTRA_SECONDS)
-        self.service.record("instance", what="exits", id=self.name)
-        await self.stop()
-
     def register(self) -> None:
         """Write the entry to the store."""
         if self.stopped:
@@ -93,7 +78,7 @@
             "zone": self.zone,
             "version": "v1",
             "slots": self.service.slots,
-            "state": self.state,
+            "state": "ready",
             "cold-left-ms": 0,
             "db-role": "primary" if self.primary else "replica",
             "sequence": self._sequence,
@@ -202,7 +187,7 @@
             return self._complete()
         if rest != "READ" and not self._instance.primary:
             return self._error("READONLY")
-        self._instance.service.note_run(self._instance, statement_id, text, self._account, True)
+        self._instance.service.note_run(self._instance, statement_id, text, self._account)
         self._state = "T"
         self._term = self._instance.service.term
         return self._complete()
@@ -214,12 +199,11 @@
             if name not in self._prepared:
                 return self._error("NOSTMT")
             word, rest = self._prepared[name].split(" ")[0], arguments
-        first = self._state == "I"
         async with instance.slots:
             await asyncio.sleep(instance.service.work_seconds)
         if word == "WRITE" and not instance.primary:
             return self._error("READONLY")
-        instance.service.note_run(instance, statement_id, text, self._account, first)
+        instance.service.note_run(instance, statement_id, text, self._account)
         instance.signatures += 1
         signature = f"{instance.name}.{instance.signatures}.{statement_id}"
         if word == "READ":
@@ -277,7 +261,6 @@
             for index, zone in enumerate(zones)
         ]
         self.primary: Instance | None = self.instances[0]
-        self.runs: list[tuple[float, str, str, str, bool]] = []
         self.arrived: set[str] = set()  # ids of the statements that reached an instance
 
     async def start(self) -> None:
@@ -291,11 +274,8 @@
             with contextlib.suppress(OSError):
                 await instance.stop()
 
-    def note_run(
-        self, instance: Instance, statement_id: str, text: str, account: str, first: bool
-    ) -> None:
-        """Record that an instance ran a statement; ``first`` marks single ones and the first."""
-        self.runs.append((time.monotonic(), instance.name, statement_id, text, first))
+    def note_run(self, instance: Instance, statement_id: str, text: str, account: str) -> None:
+        """Record that an instance ran a statement."""
         self.record("run", id=statement_id, instance=instance.name, text=text, account=account)
 
     async def commit(
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -12,8 +12,8 @@
 TX_SECONDS = 0.006  # time that a transaction takes
 READ_SECONDS = 0.004  # time that a read takes
 
-# Status and JSON document of a response; None leaves the call without one.
-_Answer = tuple[int, dict[str, Any]] | None
+# Status and JSON document of a response.
+_Answer = tuple[int, dict[str, Any]]
 
 
 async def read_request(
@@ -37,9 +37,6 @@
 class Store:
     """Versioned rows in memory.
 
-    ``refusing`` holds the names of the entry VMs that the store turns away, with the way in which
-    it does so: ``silent`` for no answer, ``busy`` for 503.
-
     Args:
         record: Receives the fields of each event.
     """
@@ -53,8 +50,6 @@
         self._servers: list[asyncio.Server] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._tokens: dict[str, int] = collections.defaultdict(int)
-        self.refusing: dict[str, str] = {}
-        self.last_writer = ""
         self.promote: abc.Callable[[str, str], abc.Awaitable[bool]] | None = None
 
     async def listen(self, vm: str, port: int) -> None:
@@ -92,11 +87,6 @@
         self._rows.pop((table, key), None)
         self._note(table, key, None)
 
-    def value(self, table: str, key: str) -> Any:
-        """Return the JSON value of a row, or None."""
-        row = self._rows.get((table, key))
-        return json.loads(row[0]) if row else None
-
     def _note(self, table: str, key: str, value: bytes | None) -> None:
         self._changes.append((self._version, table, key, value))
         self._changed.set()
@@ -106,13 +96,7 @@
         self, vm: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         while (request := await read_request(reader)) is not None:
-            answer = await self._answer(vm, *request)
-            if answer is None or self.refusing.get(vm) == "silent":
-                # Nothing further is delivered on this connection.
-                while await reader.read(65536):
-                    pass
-                return
-            status, document = answer
+            status, document = await self._answer(vm, *request)
             body = json.dumps(document).encode()
             head = (
                 f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
@@ -124,13 +108,8 @@
     async def _answer(
         self, vm: str, method: str, target: str, headers: dict[str, str], body: bytes
     ) -> _Answer:
-        mode = self.refusing.get(vm)
         if target == "/failover":
-            return await self._failover(vm, headers, json.loads(body))
-        if mode == "silent":
-            return None
-        if mode == "busy":
-            return 503, {}
+            return await self._failover(headers, json.loads(body))
         path, _, query = target.partition("?")
         fields = dict(urllib.parse.parse_qsl(query, keep_blank_values=True))
         if path == "/rows-tx":
@@ -190,14 +169,11 @@
         for row in document["delete-keys"]:
             self._rows.pop((row["table"], row["key"]), None)
             self._note(row["table"], row["key"], None)
-        self.last_writer = vm
         keys = [row["key"] for row in document["set-keys"] + document["delete-keys"]]
         self._record("store", what="conditional write", by=vm, keys=keys)
         return 200, {"row-version": self._version, "now-ms": time.monotonic() * 1000}
 
-    async def _failover(
-        self, vm: str, headers: dict[str, str], document: dict[str, Any]
-    ) -> _Answer:
+    async def _failover(self, headers: dict[str, str], document: dict[str, Any]) -> _Answer:
         service, instance = document["service"], document["id"]
         token = int(headers["greengageshunt-fencing-token"])
         holder = headers["greengageshunt-duty-holder"]
