Decode values of the store at one boundary, whatever they raise

Cause: json.loads raises RecursionError, which the decoding of a row did not list. The error ended the watch of the section, its task group and the program. The traceback of the ended process shows this line. The same class of fault stood behind unreadable rows of op/config and of the control table (OverflowError, TypeError) and behind responses with a nested body, an empty page that announces more, or an era of 5,000 digits.

Change: all values of the store are decoded through unreadable.py. Any exception makes the value unreadable, with a bounded log line and a counter. What is known stays in force, except that a group's unreadable row permits no use of its primary, since it may hide a change; the hub of the group writes the record again with a token above all that may have been used. An entry VM writes its own unreadable row again.

The stand-in of the world in virtual time moves to tests/support/primary_world.py without a change of its checks.

--- a/src/greengageshunt/coordination/lease.py
+++ b/src/greengageshunt/coordination/lease.py
@@ -148,7 +148,8 @@
             group: Name of the group.
             now: Monotonic seconds.
         """
-        row = self._view.row(view.GROUP_PREFIX + group)
+        key = view.GROUP_PREFIX + group
+        row = self._view.row(key)
         record = self._view.primary_record(group)
         copy = self._view.copy(records.Section.CONTROL)
         current = evaluate(
@@ -162,6 +163,9 @@
         kept = self._kept.get(group)
         if current.valid or kept is None or not is_kept(kept, record, now):
             return current
+        if self._view.is_unreadable(key):
+            # The row may be that of a change in the present era.
+            return current
         age = now + LEASE_SECONDS - kept.lease.expires_at
         return dataclasses.replace(kept.lease, age=age)
 
--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -80,7 +80,8 @@
         entry VM by its name, so the row is valid for both processes.
         """
         stored = self._view.members.get(self._me.vm)
-        if self._view.row(view.MEMBER_PREFIX + self._me.vm) is None:
+        key = view.MEMBER_PREFIX + self._me.vm
+        if self._view.row(key) is None or self._view.is_unreadable(key):
             return False
         if stored is None or stored.removed or stored.stopped:
             return False
--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -145,6 +145,9 @@
     async def _check_once(self, group: str, now: float) -> None:
         record = self._view.primary_record(group)
         entries = self._view.targets_of(group)
+        if self._view.is_unreadable(view.GROUP_PREFIX + group):
+            await self._replace_primary(group, None, "the record cannot be decoded")
+            return
         if record is None and self._view.newest_record(group) is None:
             await self._create_record(group, entries)
             return
@@ -240,14 +243,15 @@
         Args:
             group: Name of the group.
             record: Record on which the decision to replace the primary is based. After a restore
-                of the store, it may be older than one that this process has seen, or missing.
+                of the store, it may be older than one that this process has seen, or missing. It
+                is missing, too, if its row cannot be decoded.
             reason: Reason for the log.
 
         Raises:
             PlatformError: The store or the platform did not answer.
         """
         row = self._view.row(view.GROUP_PREFIX + group)
-        newest = self._view.newest_record(group)
+        newest = self._newest_record(group, row)
         if newest is None or self._view.primary_record(group) != record:
             # Another entry VM changed the record while this one queried the hubs. A write on
             # top of the newer version would succeed and use the same token a second time.
@@ -308,6 +312,29 @@
         if final_row is not None:
             await self._notify_peers(final_row)
 
+    def _newest_record(
+        self, group: str, row: records.ControlRow | None
+    ) -> records.PrimaryRecord | None:
+        """Return the record with the highest token that may have been used, or None.
+
+        An unreadable row may have replaced a record with a token that this process has not seen.
+        Each token was written to the store in a transaction of its own, so the row's version is
+        not below the number of tokens that its era has used.
+
+        Args:
+            group: Name of the group.
+            row: Row of the group's record, or None.
+        """
+        newest = self._view.newest_record(group)
+        if row is None or not self._view.is_unreadable(row.key):
+            return newest
+        floor = next_token(0, row.era) + row.version
+        if newest is None:
+            newest = records.PrimaryRecord(
+                group=group, primary="", token=floor, holder="", changing=False
+            )
+        return dataclasses.replace(newest, token=max(newest.token, floor))
+
     async def _write_record(
         self, record: records.PrimaryRecord, row: records.ControlRow | None
     ) -> records.ControlRow | None:
--- a/src/greengageshunt/coordination/records.py
+++ b/src/greengageshunt/coordination/records.py
@@ -96,7 +96,7 @@
     Attributes:
         key: Key of the row.
         version: Version of the row.
-        value: JSON document.
+        value: JSON document; empty if the store's value is no text.
         era: Era of the store in which the row had this version.
     """
 
--- a/src/greengageshunt/coordination/view.py
+++ b/src/greengageshunt/coordination/view.py
@@ -16,7 +16,7 @@
 from collections import abc
 from typing import Any
 
-from greengageshunt import application, codec, logs, model
+from greengageshunt import application, codec, logs, model, unreadable
 from greengageshunt.coordination import records
 from greengageshunt.stores import rows as store_rows
 
@@ -126,6 +126,8 @@
         self._missing_members: dict[str, tuple[records.MemberEntry, float]] = {}
         self._newest_records: dict[str, records.PrimaryRecord] = {}
         self._newest_era = 0
+        self._unreadable: unreadable.UnreadableValues = app.part("decoding", "unreadable")
+        self._unreadable_keys: set[str] = set()
 
     @property
     def members(self) -> abc.Mapping[str, records.MemberEntry]:
@@ -162,8 +164,12 @@
         """Return a row of the control table, or None."""
         return self._copies[records.Section.CONTROL].rows.get(key)
 
+    def is_unreadable(self, key: str) -> bool:
+        """Return whether the control table has a row of this key that cannot be decoded."""
+        return key in self._unreadable_keys
+
     def primary_record(self, group: str) -> records.PrimaryRecord | None:
-        """Return the record of a group's primary, or None."""
+        """Return the record of a group's primary, or None if it is missing or unreadable."""
         return self._primary_records.get(group)
 
     def newest_record(self, group: str) -> records.PrimaryRecord | None:
@@ -277,29 +283,30 @@
         for key in set(before.rows) - set(after.rows):
             self._primary_records.pop(key.removeprefix(GROUP_PREFIX), None)
             self._members.pop(key.removeprefix(MEMBER_PREFIX), None)
+            self._unreadable_keys.discard(key)
         self._app.events.emit("control-changed", after.version)
 
     def _decode_control(self, key: str, row: records.ControlRow, source: str) -> None:
-        try:
-            if key.startswith(GROUP_PREFIX):
-                record = codec.from_json(row.value, records.PrimaryRecord)
-                self._primary_records[record.group] = record
-                newest = self._newest_records.get(record.group)
-                if newest is None or record.token >= newest.token:
-                    self._newest_records[record.group] = record
-                fields = codec.to_plain(record)
-                logs.log_decision(
-                    logger, "adopt-lead", version=row.version, source=source, **fields
-                )
-            elif key.startswith(MEMBER_PREFIX):
-                member = codec.from_json(row.value, records.MemberEntry)
-                self._members[member.vm] = member
-                self._missing_members.pop(member.vm, None)
-        except ValueError as error:
-            logger.warning(
-                "row of the control table cannot be decoded",
-                extra={"key": key, "reason": str(error)},
-            )
+        now = self._app.clock()
+        decode = functools.partial(_decode_control_row, row)
+        value = self._unreadable.decode("control", key, decode, now).value_or(None)
+        if value is not None:
+            self._unreadable_keys.discard(key)
+        else:
+            self._unreadable_keys.add(key)
+            # The unreadable row may replace a record that this process has not seen, in which a
+            # change of the primary began. The last known record therefore permits no use of it.
+            self._primary_records.pop(key.removeprefix(GROUP_PREFIX), None)
+        if isinstance(value, records.PrimaryRecord):
+            self._primary_records[value.group] = value
+            newest = self._newest_records.get(value.group)
+            if newest is None or value.token >= newest.token:
+                self._newest_records[value.group] = value
+            fields = codec.to_plain(value)
+            logs.log_decision(logger, "adopt-lead", version=row.version, source=source, **fields)
+        elif isinstance(value, records.MemberEntry):
+            self._members[value.vm] = value
+            self._missing_members.pop(value.vm, None)
 
     def _decode_targets(self, after: SectionCopy, source: str) -> None:
         now = self._app.clock()
@@ -325,6 +332,28 @@
         self._app.events.emit("targets-changed", tuple(self._targets.values()))
 
 
+def _decode_control_row(
+    row: records.ControlRow,
+) -> records.PrimaryRecord | records.MemberEntry | str:
+    """Return the value of a row of the control table; of an unknown kind, its text.
+
+    Raises:
+        ValueError: The value cannot be decoded, or is one of another key.
+    """
+    value: records.PrimaryRecord | records.MemberEntry
+    if row.key.startswith(GROUP_PREFIX):
+        value = codec.from_json(row.value, records.PrimaryRecord)
+        key = GROUP_PREFIX + value.group
+    elif row.key.startswith(MEMBER_PREFIX):
+        value = codec.from_json(row.value, records.MemberEntry)
+        key = MEMBER_PREFIX + value.vm
+    else:
+        return row.value
+    if key != row.key:
+        raise ValueError(f"expected the value of {row.key!r}, got that of {key!r}")
+    return value
+
+
 def to_member(entry: records.MemberEntry) -> model.Member:
     """Convert the row of a registered entry VM to a member of the member view."""
     return model.Member(
@@ -334,6 +363,7 @@
 
 def setup(app: application.Application) -> None:
     """Register the copies of the store's sections."""
+    app.setup_extension("greengageshunt.unreadable")
     app.add_event("control-changed")
     app.add_event("targets-changed")
     # Emitted with the number of a newer era as soon as it is known.
--- a/src/greengageshunt/metrics/entry.py
+++ b/src/greengageshunt/metrics/entry.py
@@ -27,6 +27,7 @@
         self._statements: collections.Counter[tuple[str, ...]] = collections.Counter()
         self._dependency_changes: collections.Counter[tuple[str, ...]] = collections.Counter()
         self._store_calls: collections.Counter[tuple[str, ...]] = collections.Counter()
+        self._unreadable_values: collections.Counter[tuple[str, ...]] = collections.Counter()
         self._statement_latency = latency.LatencySummary(
             name=f"{latency.PREFIX}_statement_seconds",
             doc="Seconds from the receipt of a statement to its answer.",
@@ -40,6 +41,7 @@
         app.events.connect("statement-ended", self._count_statement)
         app.events.connect("dependency-changed", self._count_dependency_change)
         app.events.connect("store-called", self._count_store_call)
+        app.events.connect("value-unreadable", self._count_unreadable_value)
 
     @property
     def statements(self) -> Counts:
@@ -56,6 +58,11 @@
         """Number of calls to the store, by call and result."""
         return self._store_calls
 
+    @property
+    def unreadable_values(self) -> Counts:
+        """Number of values from outside that could not be decoded, by table."""
+        return self._unreadable_values
+
     @property
     def latencies(self) -> tuple[latency.LatencySummary, ...]:
         """Latencies of statements, and of the event loop's timers."""
@@ -79,6 +86,9 @@
     def _count_store_call(self, call: tuple[str, str]) -> None:
         self._store_calls[call] += 1
 
+    def _count_unreadable_value(self, table: str) -> None:
+        self._unreadable_values[(table,)] += 1
+
 
 class EntryMetrics:
     """Serves ``GET /metrics`` and samples the lag of the event loop."""
--- a/src/greengageshunt/metrics/entry_page.py
+++ b/src/greengageshunt/metrics/entry_page.py
@@ -42,6 +42,12 @@
         yield families.counter(
             "store_calls", "Calls to the store.", ("call", "result"), self._counts.store_calls
         )
+        yield families.counter(
+            "value_unreadable",
+            "Values from outside that could not be decoded.",
+            ("table",),
+            self._counts.unreadable_values,
+        )
         yield families.counter(
             "log_lines_dropped", "Log lines left out.", (), {(): logs.dropped_line_count()}
         )
--- a/src/greengageshunt/platform/decoding.py
+++ b/src/greengageshunt/platform/decoding.py
@@ -1,8 +1,14 @@
-"""Decoding of the platform's documents into types of the product."""
+"""Decoding of the platform's documents into types of the product.
 
+The functions raise ``DecodeError`` for what they check themselves, and anything else for other
+invalid values; callers decode through ``unreadable``.
+"""
+
+import json
+import math
 from typing import Any
 
-from greengageshunt import model
+from greengageshunt import config, model
 from greengageshunt.configuration import keys
 from greengageshunt.coordination import records
 
@@ -34,6 +40,23 @@
     return value
 
 
+def _number(document: Any, name: str, default: float | None = None) -> float:
+    """Return a finite number of at least 0; ``default`` replaces a missing one."""
+    if default is not None and isinstance(document, dict) and document.get(name) is None:
+        return default
+    value = _field(document, name, (int, float))
+    if not (math.isfinite(value) and value >= 0):
+        raise DecodeError(f"{name}: expected a finite number of at least 0, got {value!r}")
+    return float(value)
+
+
+def _objects(document: Any, name: str) -> list[Any]:
+    """Return a list; an empty one replaces a missing one."""
+    if isinstance(document, dict) and document.get(name) is None:
+        return []
+    return _field(document, name, list)
+
+
 def _choice(document: Any, name: str, choices: tuple[str, ...]) -> str:
     value = _field(document, name, str)
     if value not in choices:
@@ -41,6 +64,31 @@
     return value
 
 
+def decode_document(body: bytes) -> dict[str, Any]:
+    """Decode a response of the store, which names the store's version.
+
+    Raises:
+        DecodeError: The version is missing.
+    """
+    document = json.loads(body)
+    _field(document, "row-version", int)
+    return document
+
+
+def decode_rows(body: bytes) -> dict[str, Any]:
+    """Decode a response with rows, each with a key and a version; values may be invalid.
+
+    Raises:
+        DecodeError: A field is missing or malformed.
+    """
+    document = decode_document(body)
+    for row in _field(document, "rows", list):
+        _field(row, "key", str)
+        if not row.get("tombstone"):
+            _field(row, "row-version", int)
+    return document
+
+
 def _decode_database(route: Any) -> model.Database:
     kind = _choice(route, "route-kind", tuple(_CONSISTENCY))
     return model.Database(
@@ -49,10 +97,10 @@
         # A service of the platform is one database group.
         group=_field(route, "service", str),
         consistency=_CONSISTENCY[kind],
-        staleness=float(route.get("max-staleness-ms") or 0) * _MILLISECONDS,
-        statement_timeout=_field(route, "timeout-ms", (int, float)) * _MILLISECONDS,
-        latency_goal=float(route.get("latency-goal-ms") or 0) * _MILLISECONDS,
-        priority=int(route.get("priority") or 0),
+        staleness=_number(route, "max-staleness-ms", 0.0) * _MILLISECONDS,
+        statement_timeout=_number(route, "timeout-ms") * _MILLISECONDS,
+        latency_goal=_number(route, "latency-goal-ms", 0.0) * _MILLISECONDS,
+        priority=int(_number(route, "priority", 0.0)),
         open=bool(route.get("public", False)),
     )
 
@@ -64,17 +112,17 @@
         DecodeError: A field is missing or malformed.
     """
     accounts, account_keys = [], []
-    for tenant in document.get("tenants") or []:
+    for tenant in _objects(document, "tenants"):
         name = _field(tenant, "name", str)
         accounts.append(
             model.ClientAccount(
                 name=name,
                 weight=1.0,
-                rate=float(_field(tenant, "rate-per-s", (int, float))),
-                burst=float(_field(tenant, "burst", (int, float))),
+                rate=_number(tenant, "rate-per-s"),
+                burst=_number(tenant, "burst"),
             )
         )
-        for key in tenant.get("api-keys") or []:
+        for key in _objects(tenant, "api-keys"):
             # The platform's keys have no public part, so a prefix of the digest is the id.
             digest = keys.sha256_hex(key)
             account_keys.append(model.Key(key_id=digest[:16], account=name, digest=digest))
@@ -89,11 +137,11 @@
         groups=tuple(
             model.GroupLimits(
                 group=_field(service, "name", str),
-                connection_limit=int(service.get("max-conns") or 1),
+                connection_limit=int(_number(service, "max-conns", 0.0)) or 1,
             )
-            for service in document.get("services") or []
+            for service in _objects(document, "services")
         ),
-        idle_transaction_limit=float(limits.get("tx-idle-ms") or 0) * _MILLISECONDS,
+        idle_transaction_limit=_number(limits, "tx-idle-ms", 0.0) * _MILLISECONDS,
     )
 
 
@@ -107,10 +155,14 @@
     Raises:
         DecodeError: A field is missing or malformed; the row defines no target.
     """
+    address = _field(document, "address", str)
+    expectation = config.is_address(address)
+    if expectation:
+        raise DecodeError(f"address: expected {expectation}, got {address!r}")
     return records.TargetEntry(
         target=name,
         group=_field(document, "service", str),
-        address=_field(document, "address", str),
+        address=address,
         failure_domain=_field(document, "zone", str),
         slots=_field(document, "slots", int),
         draining=_choice(document, "state", _STATES) == "draining",
--- a/src/greengageshunt/platform/store.py
+++ b/src/greengageshunt/platform/store.py
@@ -1,19 +1,19 @@
 """Client of the platform's metadata store: reads, watches and conditional writes of rows."""
 
 import base64
-import binascii
 import json
-import logging
+import math
 import urllib.parse
+from collections import abc
 from typing import Any
 
-from greengageshunt import application, config, errors
+from returns import result
+
+from greengageshunt import application, config, errors, model, unreadable
 from greengageshunt.coordination import records
 from greengageshunt.platform import decoding
 from greengageshunt.stores import connection, rows
 
-logger = logging.getLogger(__name__)
-
 # Seconds to wait for a response. For a watch, they are added to the time for which the store
 # may hold the request.
 CALL_TIMEOUT = 1.0
@@ -55,13 +55,13 @@
         """Return the local monotonic seconds at or before which the store read its rows.
 
         Args:
-            now_ms: Milliseconds on the store's clock; anything but a number means that the
+            now_ms: Milliseconds on the store's clock; anything but a finite number means that the
                 response has none.
             sent_at: Local seconds at which the request was sent.
             received_at: Local seconds at which the response was received.
             era: Era of the response; each may have a clock of its own.
         """
-        if not isinstance(now_ms, int | float):
+        if not isinstance(now_ms, int | float) or not math.isfinite(now_ms):
             return sent_at
         seconds = now_ms / 1000.0
         difference = sent_at - seconds
@@ -81,6 +81,7 @@
         self._app = app
         self._http_client = connection.HttpClient(address=app.settings["store.address"])
         self._clock = _StoreClock()
+        self._unreadable: unreadable.UnreadableValues = app.part("decoding", "unreadable")
 
     async def read(self, section: records.Section) -> records.Changes:
         """Return all rows of a section.
@@ -100,7 +101,6 @@
                 raise self._error(
                     f"era changed from {era} to {page_era} between two pages",
                     f"GET /rows-get {query['table']}",
-                    effect_unknown=False,
                 )
             era = page_era
             if not version:
@@ -109,6 +109,10 @@
                 version, as_of = answer["row-version"], read_at
             if not answer.get("has-more"):
                 break
+            if not answer["rows"]:
+                raise self._error(
+                    "page without rows announces more", f"GET /rows-get {query['table']}"
+                )
             start = table_rows[-1]["key"] + "\0"
         return self._decode_changes(
             section, table_rows, version=version, as_of=as_of, era=era, is_snapshot=True
@@ -187,7 +191,8 @@
             raise self._error(
                 f"responded with status {response.status}", step, effect_unknown=unknown
             )
-        return self._document(response.body, step)["row-version"], _era(response)
+        document, era = self._decode_response(response, step, decoding.decode_document, True)
+        return document["row-version"], era
 
     async def _get(
         self, path: str, query: dict[str, Any], timeout: float
@@ -203,7 +208,7 @@
                 timeout=timeout,
             )
         except connection.CallError as error:
-            raise self._error(str(error), step, effect_unknown=False) from error
+            raise self._error(str(error), step) from error
         if response.status == 410:
             raise errors.HistoryLostError(
                 "the store no longer has the requested changes",
@@ -211,13 +216,8 @@
                 peer=self._http_client.address,
             )
         if response.status != 200:
-            raise self._error(
-                f"responded with status {response.status}", step, effect_unknown=False
-            )
-        document = self._document(response.body, step)
-        if not _has_rows(document):
-            raise self._error("response has no valid rows", step, effect_unknown=False)
-        era = _era(response)
+            raise self._error(f"responded with status {response.status}", step)
+        document, era = self._decode_response(response, step, decoding.decode_rows, False)
         as_of = self._clock.to_local(document.get("now-ms"), sent_at, self._app.clock(), era)
         return document, as_of, era
 
@@ -237,16 +237,36 @@
             self._app.events.emit("store-called", (name, call_result))
         return response
 
-    def _document(self, body: bytes, step: str) -> dict[str, Any]:
-        try:
-            document = json.loads(body)
-        except ValueError as error:
-            raise self._error("response is not JSON", step, effect_unknown=True) from error
-        if not isinstance(document, dict) or not isinstance(document.get("row-version"), int):
-            raise self._error("response has no integer row-version", step, effect_unknown=True)
-        return document
-
-    def _error(self, message: str, step: str, *, effect_unknown: bool) -> errors.PlatformError:
+    def _decode_response(
+        self,
+        response: connection.Response,
+        step: str,
+        decode: abc.Callable[[bytes], dict[str, Any]],
+        effect_unknown: bool,
+    ) -> tuple[dict[str, Any], int]:
+        """Return the document of a response and its era.
+
+        Raises:
+            PlatformError: The body or the header of the era cannot be decoded.
+        """
+        decoded = self._unreadable.decode(
+            "responses",
+            step,
+            lambda: (decode(response.body), _era(response)),
+            self._app.clock(),
+        )
+        if isinstance(decoded, result.Failure):
+            error = decoded.failure()
+            raise self._error(
+                f"response cannot be decoded: {type(error).__name__}: {error}",
+                step,
+                effect_unknown=effect_unknown,
+            ) from error
+        return decoded.unwrap()
+
+    def _error(
+        self, message: str, step: str, *, effect_unknown: bool = False
+    ) -> errors.PlatformError:
         return errors.PlatformError(
             message, step=step, peer=self._http_client.address, effect_unknown=effect_unknown
         )
@@ -267,10 +287,29 @@
         present = {key: row for key, row in newest.items() if not row.get("tombstone")}
         configuration, decoded = None, ()
         if section is records.Section.CONFIGURATION:
-            configuration = _decode_configuration(present.get(_CONFIGURATION_KEY))
+            row = present.get(_CONFIGURATION_KEY)
+            if row is not None:
+                configuration = self._decode_row(section, row, _decode_configuration)
+        elif section is records.Section.TARGETS:
+            decoded = tuple(
+                records.TargetRow(
+                    key=key,
+                    version=row["row-version"],
+                    entry=self._decode_row(section, row, _decode_target),
+                    era=era,
+                )
+                for key, row in present.items()
+            )
         else:
-            decode = _decode_target if section is records.Section.TARGETS else _decode_control
-            decoded = tuple(decode(row, era) for row in present.values())
+            decoded = tuple(
+                records.ControlRow(
+                    key=key,
+                    version=row["row-version"],
+                    value=self._decode_row(section, row, _decode_text) or "",
+                    era=era,
+                )
+                for key, row in present.items()
+            )
         return records.Changes(
             is_snapshot=is_snapshot,
             rows=decoded,
@@ -281,6 +320,17 @@
             configuration=configuration,
         )
 
+    def _decode_row(
+        self,
+        section: records.Section,
+        row: dict[str, Any],
+        decode: abc.Callable[[dict[str, Any]], Any],
+    ) -> Any:
+        """Return the decoded value of a row, or None if it cannot be decoded."""
+        return self._unreadable.decode(
+            _TABLES[section], row["key"], lambda: decode(row), self._app.clock()
+        ).value_or(None)
+
 
 def _era(response: connection.Response) -> int:
     """Return the era of a response; a store that reports none was never restored."""
@@ -288,53 +338,21 @@
     return int(text) if text.isdecimal() else rows.FIRST_ERA
 
 
-def _has_rows(document: dict[str, Any]) -> bool:
-    """Return whether a response has rows, each with a key and a version; values may be invalid."""
-    returned = document.get("rows")
-    return isinstance(returned, list) and all(
-        isinstance(row, dict)
-        and isinstance(row.get("key"), str)
-        and (row.get("tombstone") or isinstance(row.get("row-version"), int))
-        for row in returned
-    )
-
-
-def _decode_value(row: dict[str, Any]) -> str:
+def _decode_text(row: dict[str, Any]) -> str:
     return base64.b64decode(row["value"], validate=True).decode()
 
 
-def _decode_configuration(row: dict[str, Any] | None) -> Any:
-    if row is None:
-        return None
-    try:
-        return decoding.decode_configuration(json.loads(_decode_value(row)))
-    except (ValueError, TypeError, KeyError, binascii.Error, decoding.DecodeError) as error:
-        logger.error("configuration cannot be decoded", extra={"reason": str(error)})
-        return None
-
-
-def _decode_target(row: dict[str, Any], era: int) -> records.TargetRow:
-    try:
-        entry = decoding.decode_target(row["key"], json.loads(_decode_value(row)))
-    except (ValueError, TypeError, KeyError, binascii.Error, decoding.DecodeError) as error:
-        fields = {"key": row.get("key"), "reason": str(error)}
-        logger.warning("row of the target list cannot be decoded", extra=fields)
-        entry = None
-    return records.TargetRow(key=row["key"], version=row["row-version"], entry=entry, era=era)
+def _decode_configuration(row: dict[str, Any]) -> model.Configuration:
+    return decoding.decode_configuration(json.loads(_decode_text(row)))
 
 
-def _decode_control(row: dict[str, Any], era: int) -> records.ControlRow:
-    try:
-        value = _decode_value(row)
-    except (ValueError, TypeError, KeyError, binascii.Error) as error:
-        fields = {"key": row.get("key"), "reason": str(error)}
-        logger.warning("row of the control table cannot be decoded", extra=fields)
-        value = ""
-    return records.ControlRow(key=row["key"], version=row["row-version"], value=value, era=era)
+def _decode_target(row: dict[str, Any]) -> records.TargetEntry:
+    return decoding.decode_target(row["key"], json.loads(_decode_text(row)))
 
 
 def setup(app: application.Application) -> None:
     """Register the client of the store."""
+    app.setup_extension("greengageshunt.unreadable")
     app.add_setting(
         config.Setting(
             key="store.address",
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -17,6 +17,7 @@
 from support import line_target, table_store
 
 GROUP = "ledger"
+METRICS_PORT = 9464  # as in deploy/system.toml
 GRACE = 4  # seconds from SIGTERM until the platform kills an entry VM
 
 BOUNDS = {
@@ -254,6 +255,15 @@
         return 0
 
 
+async def metrics(vm: EntryVm) -> str:
+    """Return the text of the metrics page."""
+    reader, writer = await asyncio.open_connection(vm.host, METRICS_PORT)
+    writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+    text = (await reader.read()).decode()
+    writer.close()
+    return text
+
+
 _FLEET_NUMBERS = itertools.count()
 
 _STATEMENT_IDS = itertools.count(1)
--- a/tests/support/store_fleet.py
+++ b/tests/support/store_fleet.py
@@ -69,6 +69,12 @@
         self._wake()
         return rows.Row(key=key, value=value, etag=str(self.version), era=self.era)
 
+    def put_text(self, key: str, text: str) -> None:
+        """Write any text to a row of the control table, as another writer does."""
+        self.version += 1
+        self.rows[key] = records.ControlRow(key=key, version=self.version, value=text)
+        self._wake()
+
     def delete(self, key: str, etag: str) -> None:
         """Delete a row of the control table under the condition of its version."""
         if self._matches(key, etag):
--- a/tests/test_coordination/test_restored_store.py
+++ b/tests/test_coordination/test_restored_store.py
@@ -1,172 +1,20 @@
 """A store that is restored from an older copy: versions go back and are given out again."""
 
 import asyncio
-import collections
 import dataclasses
 import json
 import random
-import types
 
 import pytest
 
-from greengageshunt import codec, errors, model
+from greengageshunt import codec, model
 from greengageshunt.coordination import lease, orders, promotion, records, succession, view, watch
 from greengageshunt.standins import memory
-from support import store_fleet
-
-GROUP = "g"
-DOMAINS = ("a", "b", "c")
-TARGETS = ("t-1", "t-2", "t-3")
+from support import primary_world, store_fleet
 
 # Seconds after the return of the store within which an entry VM must have read it.
 RETURN_BOUND = 3.0
 
-CHECK_INTERVAL = 0.02  # seconds between two looks at all leases
-
-
-class _Platform:
-    """Targets of one group, and the platform's order that changes their primary."""
-
-    def __init__(self) -> None:
-        self.primary = "t-1"
-        self.term = 1
-        self.down: set[str] = set()
-        self.tokens: dict[int, str] = {}
-        self.tokens_used_twice: list[int] = []
-        self.replaced: list[str] = []
-
-    async def make_primary(self, group, target, holder, token, *, may_send, timeout):
-        """Change the primary unless the token is older than one that was used."""
-        if not may_send():
-            raise errors.PlatformError("late", step="order", peer="p", effect_unknown=False)
-        await asyncio.sleep(0.01)
-        if token < max(self.tokens, default=0) or target in self.down:
-            return False
-        if self.tokens.setdefault(token, holder) != holder:
-            self.tokens_used_twice.append(token)
-        if target != self.primary:
-            self.replaced.append(self.primary)
-            self.primary, self.term = target, self.term + 1
-        return True
-
-    async def connect(self, entry, account, timeout):
-        """Return a connection to a target; only ``status`` and ``close`` work."""
-        await asyncio.sleep(0.002)
-        if entry.target in self.down:
-            raise errors.TargetError("down", step="connect", peer=entry.target, sent=False)
-
-        async def status(timeout):
-            return types.SimpleNamespace(
-                primary=entry.target == self.primary,
-                term=self.term,
-                position=model.Position(term=self.term, offset=10),
-            )
-
-        return types.SimpleNamespace(status=status, close=lambda: None)
-
-
-class _Executor:
-    async def wait_for_writes(self, group) -> None:
-        """Return at once; no writes are in progress."""
-
-
-class _Detector:
-    def __init__(self, *, platform: _Platform) -> None:
-        self._platform = platform
-
-    async def is_lost(self, record, entry) -> bool:
-        """Return whether the primary is down."""
-        return record.primary in self._platform.down
-
-
-def _entry(target: str) -> records.TargetEntry:
-    return records.TargetEntry(
-        target=target,
-        group=GROUP,
-        address="127.0.0.1:1",
-        failure_domain="a",
-        slots=2,
-        draining=False,
-        primary=target == "t-1",
-    )
-
-
-class _World:
-    """A fleet of six entry VMs before one group, whose leases are checked all the time."""
-
-    def __init__(self, *, sparse: bool = False) -> None:
-        self.platform = _Platform()
-        self.fleet = store_fleet.Fleet(
-            size=6,
-            domains=DOMAINS,
-            sparse=sparse,
-            groups=(GROUP,),
-            add_parts=self._add_parts,
-            services=(*store_fleet.SERVICES, ("coordination", "promoter")),
-        )
-        self.store = self.fleet.store
-        # Looks at which a running entry VM had no lease, by second of the loop's clock.
-        self.without_lease: collections.Counter[int] = collections.Counter()
-        self.former_primaries: list[tuple[float, str, str]] = []
-
-    def _add_parts(self, app) -> None:
-        platform = self.platform
-        pool = types.SimpleNamespace(close_idle=lambda: None)
-        pools = types.SimpleNamespace(pool=lambda entry: pool)
-        for plugin in (lease, orders, succession, promotion):
-            plugin.setup(app)
-        app.add_part("duty", "failover", lambda app: platform)
-        app.add_part("driver", "fake", lambda app: platform)
-        app.add_part("pooling", "pools", lambda app: pools)
-        app.add_part("pooling", "executor", lambda app: _Executor())
-        app.add_part("coordination", "detector", lambda app: _Detector(platform=platform))
-
-    async def start(self) -> None:
-        """Start all entry VMs, and wait until they all have a lease."""
-        for target in TARGETS:
-            self.store.put_target(_entry(target))
-        for member in self.fleet.listed:
-            self.fleet.start(member)
-        await asyncio.sleep(5.0)
-        assert all(self._lease(vm).valid for vm in self.fleet.running.values())
-        self._watcher = asyncio.create_task(self._check())
-
-    async def stop(self) -> None:
-        """Kill all entry VMs."""
-        self._watcher.cancel()
-        await self.fleet.stop()
-
-    async def write_for(self, seconds: float) -> None:
-        """Raise the version by changes of the configuration and of the target list."""
-        for number in range(round(seconds / 0.25)):
-            self.store.change_configuration()
-            self.store.put_target(dataclasses.replace(_entry("t-3"), slots=number + 1))
-            await asyncio.sleep(0.25)
-
-    async def restore(self, copy: store_fleet.Copy, away: float = 1.0) -> None:
-        """Take the store away for some seconds, and return it from an older copy."""
-        self.store.down = True
-        await asyncio.sleep(away)
-        self.store.restore(copy)
-        self.store.down = False
-
-    def view(self, name: str) -> view.StoreView:
-        """Return the copies of one entry VM."""
-        return self.fleet.running[name].app.part("coordination", "view")
-
-    def _lease(self, vm: store_fleet.EntryVm) -> lease.Lease:
-        return vm.app.part("coordination", "leases").lease(GROUP, vm.app.clock())
-
-    async def _check(self) -> None:
-        while True:
-            for name, vm in self.fleet.running.items():
-                now, held = vm.app.clock(), self._lease(vm)
-                if not held.valid:
-                    self.without_lease[int(now)] += 1
-                elif held.target != self.platform.primary:
-                    self.former_primaries.append((now, name, held.target))
-            await asyncio.sleep(CHECK_INTERVAL)
-
 
 def test_copy_adopts_the_state_of_a_restored_store():
     """Guards against a copy that ignores the store until its versions pass those that are gone."""
@@ -181,8 +29,8 @@
     assert view.apply(after, changes) is after
 
 
-async def _serve_after_restore() -> _World:
-    world = _World()
+async def _serve_after_restore() -> primary_world.World:
+    world = primary_world.World()
     await world.start()
     copy = world.store.copy()
     await world.write_for(4.0)
@@ -204,7 +52,7 @@
 
 
 async def _change_under_a_version_given_out_again(sparse: bool) -> list[str]:
-    world = _World(sparse=sparse)
+    world = primary_world.World(sparse=sparse)
     await world.start()
     copy = world.store.copy()
     await world.write_for(2.0)
@@ -212,11 +60,11 @@
     await asyncio.sleep(0.5)
     world.store.restore(copy)
     # The versions pass those that were lost before any entry VM calls again.
-    world.store.put_target(_entry("t-4"))
+    world.store.put_target(primary_world.entry("t-4"))
     for _ in range(10):
         world.store.change_configuration()
     for number in range(20):
-        world.store.put_target(dataclasses.replace(_entry("t-3"), slots=number + 1))
+        world.store.put_target(dataclasses.replace(primary_world.entry("t-3"), slots=number + 1))
     world.store.down = False
     await asyncio.sleep(RETURN_BOUND)
     lacking = [name for name in world.fleet.running if world.view(name).target("t-4") is None]
@@ -238,8 +86,8 @@
     assert not memory.run(_change_under_a_version_given_out_again(sparse))
 
 
-async def _lose_a_change_of_primary() -> _World:
-    world = _World()
+async def _lose_a_change_of_primary() -> primary_world.World:
+    world = primary_world.World()
     await world.start()
     copy = world.store.copy()
     world.platform.down.add("t-1")
@@ -264,11 +112,11 @@
     assert not world.platform.tokens_used_twice
     assert len(world.platform.replaced) == 2
     # The last change needs a few seconds without the primary; all others must not be noticed.
-    assert sum(world.without_lease.values()) <= 6 * 4.0 / CHECK_INTERVAL
+    assert sum(world.without_lease.values()) <= 6 * 4.0 / primary_world.CHECK_INTERVAL
 
 
-async def _restart_beside_a_lost_change() -> _World:
-    world = _World()
+async def _restart_beside_a_lost_change() -> primary_world.World:
+    world = primary_world.World()
     await world.start()
     copy = world.store.copy()
     world.platform.down.add("t-1")
@@ -281,7 +129,7 @@
     for member in world.fleet.listed:
         world.fleet.start(member)
     await asyncio.sleep(10.0)
-    assert all(world._lease(vm).valid for vm in world.fleet.running.values())
+    assert all(world.lease(vm).valid for vm in world.fleet.running.values())
     await world.stop()
     return world
 
@@ -291,8 +139,8 @@
     assert not memory.run(_restart_beside_a_lost_change()).former_primaries
 
 
-async def _lose_a_registration() -> _World:
-    world = _World()
+async def _lose_a_registration() -> primary_world.World:
+    world = primary_world.World()
     newest = world.fleet.listed[-1]
     world.fleet.listed = world.fleet.listed[:-1]
     await world.start()
@@ -314,12 +162,12 @@
     return world
 
 
-async def _record_leases(world: _World, vm: store_fleet.EntryVm) -> None:
+async def _record_leases(world: primary_world.World, vm: store_fleet.EntryVm) -> None:
     while True:
-        held = world._lease(vm)
+        held = world.lease(vm)
         if held.valid and held.target != world.platform.primary:
             world.former_primaries.append((vm.app.clock(), vm.app.name, held.target))
-        await asyncio.sleep(CHECK_INTERVAL)
+        await asyncio.sleep(primary_world.CHECK_INTERVAL)
 
 
 def test_change_waits_for_an_entry_vm_whose_registration_was_lost():
@@ -330,7 +178,7 @@
 
 
 async def _registrations_after_restore() -> tuple[int, dict]:
-    world = _World()
+    world = primary_world.World()
     await world.start()
     copy = world.store.copy()
     await world.fleet.kill("a-0")
@@ -352,8 +200,8 @@
     assert sum(key.startswith("members/") for key in listed) == 6
 
 
-async def _restore_during_a_change() -> _World:
-    world = _World()
+async def _restore_during_a_change() -> primary_world.World:
+    world = primary_world.World()
     await world.start()
     copy = world.store.copy()
     world.platform.down.add("t-1")
@@ -361,7 +209,7 @@
         await asyncio.sleep(0.005)
     await world.restore(copy, away=0.3)
     await asyncio.sleep(12.0)
-    assert all(world._lease(vm).valid for vm in world.fleet.running.values())
+    assert all(world.lease(vm).valid for vm in world.fleet.running.values())
     await world.stop()
     return world
 
@@ -373,7 +221,9 @@
     assert not world.former_primaries
 
 
-RECORD = records.PrimaryRecord(group=GROUP, primary="t-1", token=4, holder="a-0", changing=False)
+RECORD = records.PrimaryRecord(
+    group=primary_world.GROUP, primary="t-1", token=4, holder="a-0", changing=False
+)
 
 
 def test_token_after_a_restore_is_above_all_that_may_be_lost():
@@ -386,7 +236,7 @@
 
 def _status(target: str, *, term: int, primary: bool) -> succession.Status:
     position = model.Position(term=term, offset=1)
-    entry = dataclasses.replace(_entry(target), primary=primary)
+    entry = dataclasses.replace(primary_world.entry(target), primary=primary)
     return succession.Status(entry=entry, primary=primary, term=term, position=position)
 
 
@@ -428,7 +278,7 @@
 
 
 async def _recall_of_an_ended_era(read: bool) -> tuple[records.LeaseRecalled, bool]:
-    world = _World()
+    world = primary_world.World()
     await world.start()
     vm = world.fleet.running["a-0"]
     if read:
@@ -438,10 +288,10 @@
         world.view("a-0").note_era(2)
     intent = dataclasses.replace(RECORD, changing=True, token=5)
     row = records.ControlRow(
-        key=view.GROUP_PREFIX + GROUP, version=999, value=codec.to_json(intent)
+        key=view.GROUP_PREFIX + primary_world.GROUP, version=999, value=codec.to_json(intent)
     )
     answer = await vm.links.handlers[records.LeaseRecall](records.LeaseRecall(row=row), 0.0)
-    held = world._lease(vm).valid
+    held = world.lease(vm).valid
     await world.stop()
     return answer, held
 
@@ -477,7 +327,7 @@
 
 
 async def _confirm_by_an_older_build() -> tuple[float, float]:
-    world = _World()
+    world = primary_world.World()
     await world.start()
     await world.restore(world.store.copy())
     await asyncio.sleep(1.0)
@@ -499,7 +349,7 @@
 
 async def _confirmed_versions(all_restart: bool) -> list[int]:
     """Return the versions that a restarted process takes for the newest, in a restored store."""
-    world = _World()
+    world = primary_world.World()
     await world.start()
     copy = world.store.copy()
     world.store.change_configuration()
@@ -534,7 +384,7 @@
     assert 1 in memory.run(_confirmed_versions(all_restart=True))
 
 
-async def _restore_among_faults(world: _World, rng: random.Random) -> None:
+async def _restore_among_faults(world: primary_world.World, rng: random.Random) -> None:
     copy = world.store.copy()
     await asyncio.sleep(rng.uniform(0.0, 8.0))
     newest = world.store.configuration_version
@@ -543,18 +393,18 @@
     # The operator and the targets write again what was lost.
     while world.store.configuration_version < newest:
         world.store.change_configuration()
-    for target in TARGETS:
-        world.store.put_target(_entry(target))
+    for target in primary_world.TARGETS:
+        world.store.put_target(primary_world.entry(target))
 
 
-async def _lose_the_primary(world: _World, rng: random.Random) -> None:
+async def _lose_the_primary(world: primary_world.World, rng: random.Random) -> None:
     primary = world.platform.primary
     world.platform.down.add(primary)
     await asyncio.sleep(rng.uniform(0.2, 6.0))
     world.platform.down.discard(primary)
 
 
-async def _restart(world: _World, rng: random.Random) -> None:
+async def _restart(world: primary_world.World, rng: random.Random) -> None:
     member = rng.choice(world.fleet.listed)
     if member.vm in world.fleet.running:
         await world.fleet.kill(member.vm)
@@ -562,24 +412,24 @@
         world.fleet.start(member)
 
 
-async def _cut_from_the_store(world: _World, rng: random.Random) -> None:
+async def _cut_from_the_store(world: primary_world.World, rng: random.Random) -> None:
     vm = rng.choice(list(world.fleet.running.values()))
     vm.client.cut = True
     await asyncio.sleep(rng.uniform(0.5, 8.0))
     vm.client.cut = False
 
 
-async def _change_the_configuration(world: _World, rng: random.Random) -> None:
+async def _change_the_configuration(world: primary_world.World, rng: random.Random) -> None:
     world.store.change_configuration()
 
 
 _FAULTS = (_lose_the_primary, _restart, _cut_from_the_store, _change_the_configuration)
 
 
-async def _play(seed: int) -> _World:
+async def _play(seed: int) -> primary_world.World:
     """Play restores and other faults that overlap, and check that the fleet recovers."""
     rng = random.Random(seed)
-    world = _World(sparse=seed % 3 == 0)
+    world = primary_world.World(sparse=seed % 3 == 0)
     await world.start()
     running = [asyncio.create_task(_restore_among_faults(world, rng))]
     for _ in range(12):
@@ -589,7 +439,7 @@
     await asyncio.gather(*running)
     await asyncio.sleep(16.0)
     for name, vm in world.fleet.running.items():
-        assert world._lease(vm).valid, (name, world._lease(vm))
+        assert world.lease(vm).valid, (name, world.lease(vm))
         assert vm.configuration.version >= world.store.configuration_version, name
     assert world.fleet.registered() == len(world.fleet.listed)
     await world.stop()
--- a/tests/test_platform/test_entry.py
+++ b/tests/test_platform/test_entry.py
@@ -341,6 +341,41 @@
         await asyncio.sleep(0.1)
 
 
+async def test_unreadable_values_of_the_store_do_not_end_processes(fleet):
+    """Guards against an end of all processes, again after each restart, as long as a row is there.
+
+    A value nested too deeply raised a RecursionError in the task that watches its table.
+    """
+    nested = b'{"service": "ledger", "slots": ' + b"[" * 20_000
+    for table, key in (
+        ("servers", "another-writer"),
+        ("op", "config"),
+        ("greengageshunt", f"groups/{entry_fleet.GROUP}"),
+        ("greengageshunt", "members/vm-0"),
+        ("greengageshunt", "another-writer"),
+    ):
+        fleet.store.put_raw(table, key, nested)
+    until = time.monotonic() + 5
+    while not all(
+        {"servers", "op", "control"}
+        <= {line["table"] for line in vm.lines("value cannot be decoded")}
+        for vm in fleet.vms
+    ):
+        assert time.monotonic() < until
+        await asyncio.sleep(0.1)
+    assert await _write_until_served(fleet.vms[0], FAILOVER_BOUND) < FAILOVER_BOUND
+    # A restarted process does not know the configuration that was overwritten.
+    fleet.configure(2, keys=KEYS)
+    for vm in fleet.vms:
+        assert vm.process.poll() is None
+        vm.signal(signal.SIGKILL)
+        vm.process.wait()
+        vm.start()
+    await fleet.wait_ready()
+    assert await _write_until_served(fleet.vms[2], 10.0) < FAILOVER_BOUND
+    assert 'value_unreadable_total{table="servers"} 1.0' in await entry_fleet.metrics(fleet.vms[0])
+
+
 async def test_all_restarted_processes_serve_again(fleet):
     """Guards against required state that is lost when all processes restart together."""
     for vm in fleet.vms:
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -130,6 +130,9 @@
     b'{"row-version": 5, "rows": [null]}',
     b'{"row-version": 5, "rows": [{"key": 7, "row-version": 1}]}',
     b'{"row-version": 5, "rows": [{"key": "a", "row-version": "1"}]}',
+    b"[" * 100_000,
+    b"\xff\xfe",
+    b'{"row-version": 5, "rows": [], "has-more": true, "now-ms": 1e999, "x": ' + b"[" * 100_000,
 ]
 
 
@@ -159,13 +162,90 @@
     return web.Response(body=body, content_type="application/json")
 
 
+async def _client_of(
+    body: bytes, headers: dict[str, str]
+) -> tuple[store.TableStore, web.AppRunner]:
+    app = web.Application()
+    app.router.add_get("/{call}", lambda request: _respond_with(body, headers))
+    app.router.add_post("/{call}", lambda request: _respond_with(body, headers))
+    runner = web.AppRunner(app, shutdown_timeout=0.1)
+    await runner.setup()
+    port = entry_fleet.free_port()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    return _client(port), runner
+
+
+async def _respond_with(body: bytes, headers: dict[str, str]) -> web.Response:
+    return web.Response(body=body, headers=headers, content_type="application/json")
+
+
+async def test_era_that_is_no_readable_number_is_a_failed_call():
+    """Guards against a header that ends the process: ``int`` rejects numbers of many digits."""
+    client, runner = await _client_of(b'{"row-version": 5, "rows": []}', {"Store-Era": "9" * 5000})
+    with pytest.raises(errors.PlatformError):
+        await client.read(records.Section.CONTROL)
+    with pytest.raises(errors.PlatformError) as raised:
+        await client.put_row("a", {}, None)
+    assert raised.value.effect_unknown
+    await _close(client)
+    await runner.cleanup()
+
+
+async def test_empty_page_that_announces_more_is_a_failed_call():
+    """Guards against an answer without rows that ends the process with an IndexError."""
+    client, runner = await _client_of(b'{"row-version": 5, "rows": [], "has-more": true}', {})
+    with pytest.raises(errors.PlatformError):
+        await client.read(records.Section.TARGETS)
+    await _close(client)
+    await runner.cleanup()
+
+
+def test_store_time_that_is_not_finite_counts_as_none():
+    """Guards against a lease that lasts too long because the store's clock shows infinity."""
+    clock = store._StoreClock()
+    for now_ms in (float("inf"), float("-inf"), float("nan")):
+        assert clock.to_local(now_ms, 10.0, 12.0) == 10.0
+
+
 async def test_row_with_an_invalid_value_names_nothing(store_and_client):
     """Guards against one malformed row that hides the valid ones, or ends the process."""
     stand_in, client = store_and_client
+    values = (
+        b"\xff\xfe",
+        b'{"version": "x"}',
+        b"[1]",
+        b"null",
+        # Nested too deeply for the decoder, whole and cut off.
+        b'{"service": "svc", "slots": ' + b"[" * 20_000,
+        b'{"version": 1, "routes": [], "tenants": ' + b"[" * 20_000 + b"]" * 20_000 + b"}",
+        # Numbers that a float holds as infinity.
+        b'{"version": 1, "routes": [], "services": [{"name": "a", "max-conns": 1e999}]}',
+        b'{"version": 1, "routes": [], "tenants": [{"name": "a", "rate-per-s": 1e999,'
+        b' "burst": 1}]}',
+        b'{"service": "a", "address": "127.0.0.1:65536", "zone": "a", "slots": 1,'
+        b' "state": "ready", "db-role": "replica"}',
+    )
     for table in ("op", "servers", store.CONTROL_TABLE):
-        stand_in.put_raw(table, "broken", b"\xff\xfe")
-        stand_in.put_raw(table, "config", b'{"version": "x"}')
+        for number, value in enumerate(values):
+            stand_in.put_raw(table, f"broken-{number}", value)
     for section in records.Section:
         changes = await client.read(section)
-        assert changes.configuration is None
         assert all(getattr(row, "entry", None) is None for row in changes.rows)
+    for value in values:
+        stand_in.put_raw("op", "config", value)
+        assert (await client.read(records.Section.CONFIGURATION)).configuration is None
+
+
+async def test_unreadable_rows_are_counted_and_logged_within_a_bound(store_and_client, caplog):
+    """Guards against rows that are dropped silently, and against a log full of one of them."""
+    stand_in, client = store_and_client
+    counted = []
+    client._app.events.connect("value-unreadable", counted.append)
+    for number in range(20):
+        stand_in.put_raw("servers", "another-writer", b"[" * 20_000 + str(number).encode())
+        await client.changes(records.Section.TARGETS, stand_in.version - 1, 0.1)
+    assert counted == ["servers"] * 20
+    lines = [line for line in caplog.records if line.message == "value cannot be decoded"]
+    assert [(line.table, line.key, line.error) for line in lines] == [
+        ("servers", "another-writer", "RecursionError")
+    ]
