Run a failed watch or service again instead of ending the program

What callers saw: any unexpected error in one task, such as the one that the unreadable row of review/1 raised, ended the program with exit code 1, its sessions included, and again after each restart.

Cause: all services of a program run in one task group, and an error of one of them cancels the others. An error of an event handler went to the task that emitted the event, and later handlers missed the event.

Event handlers are isolated from each other and from the emitter. Each fault is logged with its traceback and counted, and fails the test in which it occurs, in the process of the test and in entry VMs that it starts. Other services end the program as before, since their first run leaves them half closed.

--- a/src/greengageshunt/application.py
+++ b/src/greengageshunt/application.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from greengageshunt import clock as clock_module
-from greengageshunt import config, errors, events, registry
+from greengageshunt import config, errors, events, registry, supervision
 
 logger = logging.getLogger(__name__)
 
@@ -28,10 +28,13 @@
 
     A service is the only kind of part that has a task of its own. Its factory takes the
     application and returns an object with ``async run()``, which the application
-    cancels at the end of a shutdown. Before that, the application awaits two optional
-    methods: first ``async announce_stop()`` of all services, which notifies other
-    processes of the shutdown while all services still work, then ``async stop()`` of
-    all services, which finishes the requests in progress.
+    cancels at the end of a shutdown. If ``run`` fails, the program ends, unless the object
+    has a true ``restartable``: its ``run`` is then called again.
+
+    Before it cancels the services, the application awaits two optional methods: first
+    ``async announce_stop()`` of all services, which notifies other processes of the shutdown
+    while all services still work, then ``async stop()`` of all services, which finishes the
+    requests in progress.
     """
 
     def __init__(self, *, name: str, clock: clock_module.Clock = clock_module.monotonic) -> None:
@@ -39,6 +42,8 @@
         self._clock = clock
         self._registry = registry.Registry()
         self._events = events.EventBus()
+        # Emitted with the name of a task that failed and runs again.
+        self._events.add("task-failed")
         self._declared: dict[str, config.Setting] = {}
         self._settings: config.Settings | None = None
         self._extensions: list[str] = []
@@ -164,8 +169,23 @@
         """Set the callback that SIGHUP runs to reload the settings file."""
         self._reload_callback = callback
 
+    async def keep_running(self, name: str, run: abc.Callable[[], abc.Awaitable[None]]) -> None:
+        """Run a task until it returns or is cancelled; run it again whenever it fails."""
+        await supervision.keep_running(
+            name, run, clock=self._clock, report=lambda name: self._events.emit("task-failed", name)
+        )
+
+    async def _run_service(self, name: str, service: Any) -> None:
+        if getattr(service, "restartable", False):
+            await self.keep_running(name, service.run)
+        else:
+            await service.run()
+
     async def run(self) -> None:
-        """Run all registered services until a stop is requested or one fails."""
+        """Run all registered services until a stop is requested.
+
+        A restartable service that fails runs again, while sessions and the other services go on.
+        """
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.request_stop)
@@ -175,7 +195,10 @@
         services = [(name, self.part("service", name)) for name in names]
         logger.info("starting", extra={"program": self._name, "services": list(names)})
         async with asyncio.TaskGroup() as group:
-            tasks = [group.create_task(service.run(), name=name) for name, service in services]
+            tasks = [
+                group.create_task(self._run_service(name, service), name=name)
+                for name, service in services
+            ]
             await self._stopping.wait()
             logger.info("stopping", extra={"program": self._name})
             # A service may use services registered before it, so it stops before them.
--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -31,6 +31,8 @@
 class MemberRegistry:
     """Maintains the row of this entry VM, and updates the member view from all rows."""
 
+    restartable = True
+
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
         self._store = app.selected("platform")
--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -68,6 +68,8 @@
     Each group is assigned to one live hub by rendezvous hashing.
     """
 
+    restartable = True
+
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
         self._store = app.selected("platform")
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import math
 import random
@@ -67,6 +68,8 @@
 class StoreWatch:
     """Keeps the copies of the store's sections current, with one task for each section."""
 
+    restartable = True
+
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
         self._store = app.selected("platform")
@@ -105,8 +108,11 @@
         }
         async with asyncio.TaskGroup() as group:
             for section, wait in waits.items():
-                group.create_task(self._watch(section, wait), name=f"watch {section}")
-            group.create_task(self._remove_missing())
+                name = f"watch {section}"
+                watch = functools.partial(self._watch, section, wait)
+                group.create_task(self._app.keep_running(name, watch), name=name)
+            name = "remove missing"
+            group.create_task(self._app.keep_running(name, self._remove_missing), name=name)
 
     async def _remove_missing(self) -> None:
         while True:
--- a/src/greengageshunt/frontends/readiness.py
+++ b/src/greengageshunt/frontends/readiness.py
@@ -56,6 +56,8 @@
 class Readiness:
     """Serves ``GET /readiness`` and logs each change of its result."""
 
+    restartable = True
+
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
         self._view = app.part("coordination", "view")
--- a/src/greengageshunt/metrics/entry.py
+++ b/src/greengageshunt/metrics/entry.py
@@ -28,6 +28,7 @@
         self._dependency_changes: collections.Counter[tuple[str, ...]] = collections.Counter()
         self._store_calls: collections.Counter[tuple[str, ...]] = collections.Counter()
         self._unreadable_values: collections.Counter[tuple[str, ...]] = collections.Counter()
+        self._task_failures: collections.Counter[tuple[str, ...]] = collections.Counter()
         self._statement_latency = latency.LatencySummary(
             name=f"{latency.PREFIX}_statement_seconds",
             doc="Seconds from the receipt of a statement to its answer.",
@@ -42,6 +43,7 @@
         app.events.connect("dependency-changed", self._count_dependency_change)
         app.events.connect("store-called", self._count_store_call)
         app.events.connect("value-unreadable", self._count_unreadable_value)
+        app.events.connect("task-failed", self._count_task_failure)
 
     @property
     def statements(self) -> Counts:
@@ -63,6 +65,11 @@
         """Number of values from outside that could not be decoded, by table."""
         return self._unreadable_values
 
+    @property
+    def task_failures(self) -> Counts:
+        """Number of failures of tasks that ran again, by task."""
+        return self._task_failures
+
     @property
     def latencies(self) -> tuple[latency.LatencySummary, ...]:
         """Latencies of statements, and of the event loop's timers."""
@@ -89,10 +96,15 @@
     def _count_unreadable_value(self, table: str) -> None:
         self._unreadable_values[(table,)] += 1
 
+    def _count_task_failure(self, task: str) -> None:
+        self._task_failures[(task,)] += 1
+
 
 class EntryMetrics:
     """Serves ``GET /metrics`` and samples the lag of the event loop."""
 
+    restartable = True
+
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
         self._counts = EntryCounts(app=app)
--- a/src/greengageshunt/metrics/entry_page.py
+++ b/src/greengageshunt/metrics/entry_page.py
@@ -48,6 +48,18 @@
             ("table",),
             self._counts.unreadable_values,
         )
+        yield families.counter(
+            "task_failures",
+            "Failures of tasks, which then run again.",
+            ("task",),
+            self._counts.task_failures,
+        )
+        yield families.counter(
+            "event_handler_failures",
+            "Failures of event handlers.",
+            ("event",),
+            {(name,): count for name, count in self._app.events.failures.items()},
+        )
         yield families.counter(
             "log_lines_dropped", "Log lines left out.", (), {(): logs.dropped_line_count()}
         )
--- a/src/greengageshunt/peers/links.py
+++ b/src/greengageshunt/peers/links.py
@@ -38,6 +38,8 @@
     demand and closed when it is idle.
     """
 
+    restartable = True
+
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
         self._view = app.part("membership", "view")
@@ -123,6 +125,8 @@
         finally:
             for task in self._tasks.values():
                 task.cancel()
+            self._tasks.clear()
+            self._links.clear()
 
     async def announce_stop(self) -> None:
         """Announce to all linked peers that this entry VM takes no new work."""
--- a/src/greengageshunt/peers/server.py
+++ b/src/greengageshunt/peers/server.py
@@ -21,6 +21,8 @@
 class PeerServer:
     """Serves one websocket for each peer and calls the handler of each message kind."""
 
+    restartable = True
+
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
         self._handlers: dict[type, Handler] = {}
--- a/src/greengageshunt/platform/frontend.py
+++ b/src/greengageshunt/platform/frontend.py
@@ -59,6 +59,8 @@
 class LineFrontend:
     """Accepts connections of callers and runs their statements in sessions."""
 
+    restartable = True
+
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
         self._host: host_module.SessionHost = app.part("pooling", "sessions")
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 """Fixtures, and the deselection of tests that KNOWN-RED.txt lists."""
 
 import contextlib
+import logging
 import pathlib
 from collections import abc
 
@@ -43,6 +44,22 @@
         terminalreporter.write_line(f"known red, not run: {node_id}")
 
 
+# Log messages of faults that a program survives.
+FAULT_MESSAGES = ("task failed", "event handler failed")
+
+
+@pytest.fixture(autouse=True)
+def _no_hidden_faults(
+    request: pytest.FixtureRequest, caplog: pytest.LogCaptureFixture
+) -> abc.Iterator[None]:
+    """Fail a test in which a task or event handler failed, although the program went on."""
+    yield
+    if request.node.get_closest_marker("expects_faults"):
+        return
+    faults = [record for record in caplog.get_records("call") if record.msg in FAULT_MESSAGES]
+    assert not faults, [logging.Formatter().format(record) for record in faults]
+
+
 FleetStarter = abc.Callable[..., abc.Awaitable[fleet.Fleet]]
 
 
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -202,6 +202,13 @@
         for target in self.group.targets.values():
             await target.stop()
         await self.store.stop()
+        faults = [
+            line
+            for vm in self.vms
+            for message in ("task failed", "event handler failed")
+            for line in vm.lines(message)
+        ]
+        assert not faults, faults
 
     def announce(self, target: line_target.LineTarget, state: str = "ready") -> None:
         """Write the row of a target to the store, as a real target does for itself."""
