Announce the mark of a planned stop, so that a late mark fails

Cause: the write that marks a stopped entry VM got no answer and was performed seconds later. The next process keeps the row of its predecessor, so the write's condition still held, and the running process counted as stopped.

Change: a stopping process first writes its row with "stopping" and sends the mark only after that write is confirmed. A process that finds such a row of another incarnation replaces it before it uses a primary. A lease also needs a copy of the control table that was confirmed since the start of the process, as an older copy may lack the announcement. One more write for each planned stop; none more for other restarts.

--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -22,7 +22,7 @@
 # the leases of the unresponsive process to expire.
 REMOVE_AFTER = 8.0
 
-# Seconds for the write that marks this entry VM as stopped during its shutdown.
+# Seconds for the writes that mark this entry VM as stopped during its shutdown.
 STOP_TIMEOUT = 0.5
 
 WRITE_RETRY_DELAY = 0.3  # seconds after a failed write to the store
@@ -42,6 +42,7 @@
         self._last_heard_at: dict[str, float] = {}
         self._marked_at: dict[str, float] = {}
         self._row_written = asyncio.Event()
+        self._started_at = app.clock()
         me: model.Member = self._members.me
         self._me = records.MemberEntry(
             vm=me.vm,
@@ -61,13 +62,15 @@
         """Whether the copy of the control table is complete up to this entry VM's row.
 
         The copy then shows each change of primary that started before the row was written, and
-        each later change waits for this process.
+        each later change waits for this process. The copy must have been confirmed since the start
+        of the process: an older one of a peer may lack what the predecessor wrote when it stopped.
         """
         row = self._view.row(view.MEMBER_PREFIX + self._me.vm)
         if row is None or not self._has_valid_row:
             return False
         copy = self._view.copy(records.Section.CONTROL)
-        return copy.era == row.era and copy.version >= row.version
+        complete = copy.era == row.era and copy.version >= row.version
+        return complete and copy.as_of >= self._started_at
 
     @property
     def row_written(self) -> asyncio.Event:
@@ -79,7 +82,8 @@
         """Whether the store holds a valid row of this entry VM.
 
         A process that restarts after a crash keeps the row of its predecessor: peers address an
-        entry VM by its name, so the row is valid for both processes.
+        entry VM by its name, so the row is valid for both processes. One that was stopping may
+        have sent a write that is still on its way. The successor's own row fails its condition.
         """
         stored = self._view.members.get(self._me.vm)
         key = view.MEMBER_PREFIX + self._me.vm
@@ -87,6 +91,8 @@
             return False
         if stored is None or stored.removed or stored.stopped:
             return False
+        if stored.stopping and stored.incarnation != self._me.incarnation:
+            return False
         return view.to_member(stored) == view.to_member(self._me)
 
     async def run(self) -> None:
@@ -117,13 +123,22 @@
         row = self._view.row(view.MEMBER_PREFIX + self._me.vm)
         if row is None or not self._has_valid_row:
             return
+        stopping = dataclasses.replace(self._me, stopping=True)
         stopped = dataclasses.replace(self._me, stopped=True)
         try:
             async with asyncio.timeout(STOP_TIMEOUT):
-                await self._store.put_row(row.key, codec.to_plain(stopped), str(row.version))
+                # A write without a response may take effect seconds later, when another process
+                # of this entry VM runs. The mark is therefore sent only once the row tells that
+                # process to write its own first, which ends the condition of the mark.
+                announced = await self._store.put_row(
+                    row.key, codec.to_plain(stopping), str(row.version)
+                )
+                if isinstance(announced, rows.Row):
+                    await self._store.put_row(row.key, codec.to_plain(stopped), announced.etag)
         except (TimeoutError, errors.PlatformError) as error:
             logger.warning(
-                "own row not marked as stopped in the store", extra={"reason": str(error)}
+                "own row not marked as stopped in the store",
+                extra={"reason": str(error) or type(error).__name__},
             )
 
     async def _register(self) -> None:
--- a/src/greengageshunt/coordination/records.py
+++ b/src/greengageshunt/coordination/records.py
@@ -52,6 +52,8 @@
         removed: Whether another entry VM marked this one as removed because it did not answer.
             The row is deleted after all leases that this entry VM held have expired.
         stopped: Whether the process shut down in order and no longer uses any primary.
+        stopping: Whether the process of this incarnation is about to write ``stopped``. The row is
+            valid for no other process, so its successor writes a row of its own first.
     """
 
     vm: str
@@ -60,6 +62,7 @@
     incarnation: str
     removed: bool = False
     stopped: bool = False
+    stopping: bool = codec.added_field(False)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/tests/support/primary_world.py
+++ b/tests/support/primary_world.py
@@ -155,6 +155,14 @@
         """Return the lease of one entry VM."""
         return vm.app.part("coordination", "leases").lease(GROUP, vm.app.clock())
 
+    async def watch_lease(self, vm: store_fleet.EntryVm) -> None:
+        """Record each use of a former primary by an entry VM that is cut off, until cancelled."""
+        while True:
+            held = self.lease(vm)
+            if held.valid and held.target != self.platform.primary:
+                self.former_primaries.append((vm.app.clock(), vm.app.name, held.target))
+            await asyncio.sleep(CHECK_INTERVAL)
+
     async def _check(self) -> None:
         while True:
             for name, vm in self.fleet.running.items():
--- a/tests/support/store_fleet.py
+++ b/tests/support/store_fleet.py
@@ -18,6 +18,9 @@
 
 STORE_SECONDS = 0.004  # time that the store takes for a call
 
+# Seconds until a write whose response was lost is performed; the platform names up to 6.
+LATE_SECONDS = 3.0
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Copy:
@@ -160,11 +163,15 @@
 class Client:
     """Client of the store on one entry VM.
 
-    While ``cut``, its calls fail; those that wait for changes fail with the next change.
+    While ``cut``, its calls fail; those that wait for changes fail with the next change. Writes
+    whose numbers are in ``lost_writes``, counted from 1, get no response and are performed
+    ``LATE_SECONDS`` later if their condition still holds.
     """
 
     def __init__(self, *, store: Store, vm: str, clock: abc.Callable[[], float]) -> None:
         self.cut = False
+        self.lost_writes: set[int] = set()
+        self._writes = 0
         self._store = store
         self._vm = vm
         self._clock = clock
@@ -188,6 +195,10 @@
     async def put_row(self, key: str, value: object, etag: str | None) -> rows.Row | rows.Conflict:
         """Write a row."""
         await self._count()
+        self._writes += 1
+        if self._writes in self.lost_writes:
+            asyncio.get_running_loop().call_later(LATE_SECONDS, self._store.put, key, value, etag)
+            raise errors.PlatformError("lost", step="write", peer="store", effect_unknown=True)
         return self._store.put(key, value, etag)
 
     async def delete_row(self, key: str, etag: str) -> None:
@@ -356,6 +367,13 @@
                     sink(neighbour.vm, peer.links.values[name][0](), sent_at)
             await asyncio.sleep(0.5)
 
+    def cut(self, name: str) -> EntryVm:
+        """Cut one entry VM off from the store and from its peers, and return it."""
+        vm = self.running.pop(name)
+        vm.client.cut = True
+        vm.members._neighbours = ()
+        return vm
+
     def registered(self) -> int:
         """Return how many entry VMs are registered."""
         return sum(
--- a/tests/test_coordination/test_members.py
+++ b/tests/test_coordination/test_members.py
@@ -170,7 +170,8 @@
 
 
 @pytest.mark.parametrize(
-    "fields", [{"stopped": True}, {"removed": True}, {"peer_address": "127.0.0.1:9"}]
+    "fields",
+    [{"stopped": True}, {"stopping": True}, {"removed": True}, {"peer_address": "127.0.0.1:9"}],
 )
 async def test_process_replaces_a_row_that_is_not_valid_for_it(fields):
     """Guards against a process that uses a primary but gets no lease recalls."""
--- a/tests/test_coordination/test_restored_store.py
+++ b/tests/test_coordination/test_restored_store.py
@@ -10,7 +10,7 @@
 from greengageshunt import codec, model
 from greengageshunt.coordination import lease, orders, promotion, records, succession, view, watch
 from greengageshunt.standins import memory
-from support import primary_world, store_fleet
+from support import primary_world
 
 # Seconds after the return of the store within which an entry VM must have read it.
 RETURN_BOUND = 3.0
@@ -149,12 +149,10 @@
     world.fleet.start(newest)
     await asyncio.sleep(2.0)
     # The new entry VM reaches the primary, but neither the store nor its peers.
-    peer = world.fleet.running.pop(newest.vm)
-    peer.client.cut = True
-    peer.members._neighbours = ()
+    peer = world.fleet.cut(newest.vm)
     await world.restore(copy)
     world.platform.down.add("t-1")
-    watched = asyncio.create_task(_record_leases(world, peer))
+    watched = asyncio.create_task(world.watch_lease(peer))
     await asyncio.sleep(12.0)
     watched.cancel()
     world.fleet.running[newest.vm] = peer
@@ -162,14 +160,6 @@
     return world
 
 
-async def _record_leases(world: primary_world.World, vm: store_fleet.EntryVm) -> None:
-    while True:
-        held = world.lease(vm)
-        if held.valid and held.target != world.platform.primary:
-            world.former_primaries.append((vm.app.clock(), vm.app.name, held.target))
-        await asyncio.sleep(primary_world.CHECK_INTERVAL)
-
-
 def test_change_waits_for_an_entry_vm_whose_registration_was_lost():
     """Guards against a promotion while a process that the store forgot uses the old primary."""
     world = memory.run(_lose_a_registration())
