Wait for leases of an ended era that a process cannot know

Cause: a change of primary waits for the registered entry VMs that its own process knows. A process that starts in a restored store does not know one whose row was lost; recall-leases has "silent": [] after 7 to 87 ms. Found with it: a restored row that says that an entry VM stopped, although it had started again, hid it from hubs that had run all along.

A process that was not in contact with the store until the restore waits until the leases of the ended era have expired, unless one that was in contact answers the recall. The answer names the entry VMs whose rows are lost or say that they stopped.

--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -85,7 +85,7 @@
         entry VM by its name, so the row is valid for both processes. One that was stopping may
         have sent a write that is still on its way. The successor's own row fails its condition.
         """
-        stored = self._view.members.get(self._me.vm)
+        stored = self._view.member(self._me.vm)
         key = view.MEMBER_PREFIX + self._me.vm
         if self._view.row(key) is None or self._view.is_unreadable(key):
             return False
--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from greengageshunt import application, codec, errors, logs
-from greengageshunt.coordination import detection, lease, orders, records, succession, view
+from greengageshunt.coordination import detection, eras, lease, orders, records, succession, view
 from greengageshunt.membership import ownership
 from greengageshunt.pooling import execution
 from greengageshunt.stores import rows
@@ -83,6 +83,7 @@
         self._executor: execution.Executor = app.part("pooling", "executor")
         self._detector: detection.Detector = app.part("coordination", "detector")
         self._configuration = app.part("configuration", "state")
+        self._eras: eras.EraMemory = app.part("coordination", "eras")
         self._changing_since: dict[str, tuple[int, float]] = {}
         self._not_before: dict[str, float] = {}
         self._incarnations: dict[str, str] = {}
@@ -372,7 +373,8 @@
     async def _revoke_leases(self, row: records.ControlRow) -> None:
         """Revoke the leases on a primary, and wait until no entry VM uses it.
 
-        Entry VMs that do not confirm the revocation are waited for until their leases expire.
+        Entry VMs that do not confirm the revocation are waited for until their leases expire. So
+        are those that no process knows since the store was restored from an older copy.
 
         Args:
             row: Row of the record that marks the change as in progress.
@@ -390,13 +392,10 @@
             if self._app.clock() >= until:
                 break
             await asyncio.sleep(POLL_INTERVAL)
-        pending = frozenset(
-            vm
-            for vm, entry in self._view.members.items()
-            if vm != self._members.me.vm and not entry.stopped
-        )
-        while pending and self._app.clock() < until:
-            pending = await self._request_recall(pending, row)
+        pending = self._possible_holders()
+        remembered = row.era == rows.FIRST_ERA
+        while self._app.clock() < until:
+            answers = await self._request_recall(pending, row)
             if self._view.newest_era > row.era:
                 raise errors.PlatformError(
                     f"the store's era changed from {row.era} to {self._view.newest_era}",
@@ -404,22 +403,38 @@
                     peer="store",
                     effect_unknown=False,
                 )
-            if pending:
-                remaining = max(0.0, until - self._app.clock())
-                await asyncio.sleep(min(RECALL_RETRY_INTERVAL, remaining))
+            now = self._app.clock()
+            remembered = (
+                remembered
+                or self._eras.remembers(now)
+                or any(answer.remembers for answer in answers)
+            )
+            pending = self._pending_after(pending, answers, now)
+            if not pending and remembered:
+                break
+            await asyncio.sleep(min(RECALL_RETRY_INTERVAL, max(0.0, until - now)))
         logs.log_decision(
             logger,
             "recall-leases",
             group=record.group,
             version=row.version,
             silent=sorted(pending),
+            remembered=remembered,
             waited=round(self._app.clock() - started_at, 3),
         )
 
+    def _possible_holders(self) -> frozenset[str]:
+        """Return the other entry VMs that may have leases."""
+        return frozenset(
+            vm
+            for vm, entry in self._view.members.items()
+            if vm != self._members.me.vm and not entry.stopped
+        )
+
     async def _request_recall(
         self, pending: frozenset[str], row: records.ControlRow
-    ) -> frozenset[str]:
-        """Send a ``LeaseRecall`` to entry VMs; return those that may still use the primary.
+    ) -> tuple[records.LeaseRecalled, ...]:
+        """Send a ``LeaseRecall`` to entry VMs; return the answers of those that applied the row.
 
         An entry VM runs one process at a time, so a response from a restarted process shows that
         the process which held the lease has ended.
@@ -431,10 +446,30 @@
         received = [answer for answer in answers if answer is not None]
         for answer in received:
             self._view.note_era(answer.era)
-        answered = {answer.vm for answer in received if answer.era <= row.era}
-        members = self._view.members
-        stopped = {vm for vm in pending if vm in members and members[vm].stopped}
-        return pending - answered - stopped
+        return tuple(answer for answer in received if answer.era <= row.era)
+
+    def _pending_after(
+        self,
+        pending: frozenset[str],
+        answers: tuple[records.LeaseRecalled, ...],
+        now: float,
+    ) -> frozenset[str]:
+        """Return the entry VMs that may still use the primary after some have answered.
+
+        Args:
+            pending: Entry VMs that were asked.
+            answers: Their answers, which may name further entry VMs of ended eras.
+            now: Monotonic seconds.
+        """
+        known = self._possible_holders()
+        for answer in answers:
+            self._view.keep_members(answer.unlisted, now)
+        named = self._possible_holders() - known
+        answered = {answer.vm for answer in answers}
+        stopped = {
+            vm for vm, entry in self._view.members.items() if vm in pending and entry.stopped
+        }
+        return (pending - answered - stopped) | named
 
     async def _notify_peers(self, row: records.ControlRow) -> None:
         """Send the row that ends a change to all registered entry VMs."""
@@ -459,7 +494,14 @@
         if record.changing:
             await self._executor.wait_for_writes(record.group)
             await self._orders.wait_for_order(record.group)
-        return records.LeaseRecalled(vm=self._members.me.vm, era=self._view.newest_era)
+        answer = records.LeaseRecalled(vm=self._members.me.vm, era=self._view.newest_era)
+        if message.row.era == rows.FIRST_ERA:
+            return answer
+        return dataclasses.replace(
+            answer,
+            remembers=self._eras.remembers(self._app.clock()),
+            unlisted=self._view.members_of_ended_eras,
+        )
 
 
 def setup(app: application.Application) -> None:
--- a/src/greengageshunt/coordination/records.py
+++ b/src/greengageshunt/coordination/records.py
@@ -216,10 +216,14 @@
         vm: Name of the sender.
         era: Era of the store that the sender knows. If it is above the row's era, the sender did
             not apply the row.
+        remembers: Whether the sender knows all entry VMs that may have leases of ended eras.
+        unlisted: Entry VMs of ended eras whose rows a restored store may lack.
     """
 
     vm: str
     era: int = codec.added_field(store_rows.FIRST_ERA)
+    remembers: bool = codec.added_field(False)
+    unlisted: tuple[MemberEntry, ...] = codec.added_field(())
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/greengageshunt/coordination/view.py
+++ b/src/greengageshunt/coordination/view.py
@@ -133,12 +133,24 @@
     def members(self) -> abc.Mapping[str, records.MemberEntry]:
         """Registered entry VMs by name, including those marked as removed or stopped.
 
-        They include, for a while, those whose rows a restored store lacks.
+        They include, for a while, those whose rows a restored store lacks or marks as stopped.
         """
         if not self._missing_members:
             return self._members
         missing = {vm: entry for vm, (entry, _) in self._missing_members.items()}
-        return {**missing, **self._members}
+        return {**self._members, **missing}
+
+    def member(self, vm: str) -> records.MemberEntry | None:
+        """Return the entry in the row of an entry VM, or None."""
+        return self._members.get(vm)
+
+    @property
+    def members_of_ended_eras(self) -> tuple[records.MemberEntry, ...]:
+        """Entry VMs that may have leases of an ended era, and whose rows the store may lack."""
+        missing = tuple(entry for entry, _ in self._missing_members.values())
+        if self.copy(records.Section.CONTROL).era >= self._newest_era:
+            return missing
+        return (*missing, *(entry for entry in self._members.values() if not entry.stopped))
 
     @property
     def primary_records(self) -> abc.Mapping[str, records.PrimaryRecord]:
@@ -153,6 +165,8 @@
     def note_era(self, era: int) -> None:
         """Record that the store has reached an era."""
         known, self._newest_era = self._newest_era, max(era, self._newest_era)
+        if era > known:
+            self._app.events.emit("era-noted", era)
         if known and era > known:
             self._app.events.emit("era-rose", era)
 
@@ -207,12 +221,15 @@
             )
             return
         self.note_era(changes.era)
-        if section is records.Section.CONTROL and after.era > before.era and before.version:
+        era_ended = section is records.Section.CONTROL and after.era > before.era
+        if era_ended and before.version:
             self._app.events.emit("era-ended", before.era)
-            self._keep_missing_members(after)
+        members = tuple(self.members.values()) if era_ended else ()
         self._copies[section] = after
         if after.rows is not before.rows:
             self._decode(section, before, after, source)
+        if era_ended:
+            self.keep_members(members, self._app.clock())
 
     def confirm(
         self, section: records.Section, digest: str, version: int, as_of: float, era: int
@@ -234,11 +251,17 @@
         self._copies[records.Section.CONTROL] = after
         self._decode(records.Section.CONTROL, copy, after, "row")
 
-    def _keep_missing_members(self, restored: SectionCopy) -> None:
-        now = self._app.clock()
-        for vm, entry in self._members.items():
-            if MEMBER_PREFIX + vm not in restored.rows and not (entry.removed or entry.stopped):
-                self._missing_members[vm] = (entry, now)
+    def keep_members(self, members: abc.Iterable[records.MemberEntry], now: float) -> None:
+        """Keep entry VMs of an ended era for a while if their rows are lost, or say they stopped.
+
+        Args:
+            members: Entry VMs of that era; those that stopped have no leases and are ignored.
+            now: Monotonic seconds.
+        """
+        for entry in members:
+            listed = self._members.get(entry.vm)
+            if not entry.stopped and (listed is None or listed.stopped):
+                self._missing_members.setdefault(entry.vm, (entry, now))
 
     def remove_missing(self, now: float) -> None:
         """Remove targets and entry VMs that have been missing for longer than the grace period.
@@ -306,7 +329,8 @@
             logs.log_decision(logger, "adopt-lead", version=row.version, source=source, **fields)
         elif isinstance(value, records.MemberEntry):
             self._members[value.vm] = value
-            self._missing_members.pop(value.vm, None)
+            if not value.stopped:
+                self._missing_members.pop(value.vm, None)
 
     def _decode_targets(self, after: SectionCopy, source: str) -> None:
         now = self._app.clock()
@@ -366,7 +390,9 @@
     app.setup_extension("greengageshunt.unreadable")
     app.add_event("control-changed")
     app.add_event("targets-changed")
-    # Emitted with the number of a newer era as soon as it is known.
+    # Emitted with the number of the newest era as soon as it is known, the first one included.
+    app.add_event("era-noted")
+    # The same, without the first era that this process learns of.
     app.add_event("era-rose")
     # Emitted with the number of the era while the copy of the control table is still of that era.
     app.add_event("era-ended")
--- a/src/greengageshunt/programs/entry.py
+++ b/src/greengageshunt/programs/entry.py
@@ -41,6 +41,7 @@
     "greengageshunt.coordination.copies",
     "greengageshunt.coordination.members",
     "greengageshunt.coordination.lease",
+    "greengageshunt.coordination.eras",
     "greengageshunt.membership.confirmation",
     "greengageshunt.admission.granted",
     "greengageshunt.configuration.exchange",
--- a/tests/support/primary_world.py
+++ b/tests/support/primary_world.py
@@ -6,7 +6,7 @@
 import types
 
 from greengageshunt import errors, model
-from greengageshunt.coordination import lease, orders, promotion, records, succession, view
+from greengageshunt.coordination import eras, lease, orders, promotion, records, succession, view
 from support import store_fleet
 
 GROUP = "g"
@@ -99,7 +99,11 @@
             sparse=sparse,
             groups=(GROUP,),
             add_parts=self._add_parts,
-            services=(*store_fleet.SERVICES, ("coordination", "promoter")),
+            services=(
+                *store_fleet.SERVICES,
+                ("coordination", "promoter"),
+                ("coordination", "eras"),
+            ),
         )
         self.store = self.fleet.store
         # Looks at which a running entry VM had no lease, by second of the loop's clock.
@@ -110,7 +114,7 @@
         platform = self.platform
         pool = types.SimpleNamespace(close_idle=lambda: None)
         pools = types.SimpleNamespace(pool=lambda entry: pool)
-        for plugin in (lease, orders, succession, promotion):
+        for plugin in (lease, eras, orders, succession, promotion):
             plugin.setup(app)
         app.add_part("duty", "failover", lambda app: platform)
         app.add_part("driver", "fake", lambda app: platform)
--- a/tests/test_coordination/test_promotion.py
+++ b/tests/test_coordination/test_promotion.py
@@ -112,6 +112,7 @@
         ("driver", "fake"),
         ("coordination", "orders"),
         ("coordination", "leases"),
+        ("coordination", "eras"),
         ("coordination", "succession"),
         ("coordination", "members"),
         ("coordination", "detector"),
@@ -191,8 +192,9 @@
         store_view.apply_row(row)
     store_view.apply_row(_member_row("vm-4", 4, stopped=True))
     row = records.ControlRow(key="groups/g", version=9, value="{}")
-    pending = await promoter._request_recall(frozenset({"vm-2", "vm-3", "vm-4"}), row)
-    assert pending == {"vm-3"}
+    asked = frozenset({"vm-2", "vm-3", "vm-4"})
+    answers = await promoter._request_recall(asked, row)
+    assert promoter._pending_after(asked, answers, 100.0) == {"vm-3"}
 
 
 def test_change_of_a_restarted_holder_is_taken_over_early():
