Promote only a target that has all acknowledged commits

Cause: the replica with all commits had no free connection and rejected the status call. The choice left it out after one attempt and promoted the newest of the targets that had answered. sync-replicas was not read.

Change: sync-replicas is read. Where it is above 0, a target is promoted only if fewer than sync-replicas replicas are missing from the answers, or if the replaced primary vouches for it; else the change waits. During such a change each entry VM leaves one connection of its quota unused, so that a full replica can answer. With sync-replicas 0 nothing changes.

--- a/src/greengageshunt/coordination/succession.py
+++ b/src/greengageshunt/coordination/succession.py
@@ -5,7 +5,7 @@
 import logging
 from typing import Any
 
-from greengageshunt import application, errors, model
+from greengageshunt import application, errors, logs, model
 from greengageshunt.coordination import detection, records, view
 from greengageshunt.pooling import pools
 
@@ -14,7 +14,8 @@
 STATUS_TIMEOUT = 0.4  # seconds for a target's answer to a status or step-down call
 
 # Seconds for which a change waits until a replica has received the last commits of the primary
-# that stepped down. After that, the change proceeds with the replica that received most.
+# that stepped down, or until enough replicas have answered. After that, the change proceeds with
+# the replica that received most if that one has all acknowledged commits, and is else begun anew.
 CATCH_UP_TIMEOUT = 1.0
 
 # Seconds within which the successor must report that it is the primary.
@@ -60,6 +61,44 @@
     )
 
 
+def choose_complete_successor(
+    statuses: tuple[Status, ...],
+    listed: tuple[records.TargetEntry, ...],
+    replaced: str,
+    sync_replicas: int,
+) -> Status | None:
+    """Return the target to promote that has all acknowledged commits, or None if none is known to.
+
+    Each commit was received by ``sync_replicas`` replicas before it was acknowledged. So one of the
+    replicas that answer has it if fewer than ``sync_replicas`` of them are missing. The replaced
+    primary itself has all commits. A draining target is chosen only if no other one is complete.
+
+    Args:
+        statuses: Answers of the group's targets.
+        listed: Targets of the group in the target list.
+        replaced: Name of the primary that is replaced.
+        sync_replicas: Replicas that receive a commit before it is acknowledged; at least 1.
+    """
+    replicas = tuple(status for status in statuses if status.entry.target != replaced)
+    answered = {status.entry.target for status in statuses}
+    missing = {entry.target for entry in listed} - answered - {replaced}
+    if len(missing) >= sync_replicas and replaced not in answered:
+        return None
+    known = replicas if len(missing) < sync_replicas else statuses
+    zero = model.Position(term=0, offset=0)
+    newest = max((status.position or zero for status in known), default=zero)
+    complete = [status for status in known if (status.position or zero) == newest]
+    return min(
+        complete,
+        key=lambda status: (
+            status.entry.target == replaced,
+            status.entry.draining,
+            status.entry.target,
+        ),
+        default=None,
+    )
+
+
 def newest_primary(statuses: tuple[Status, ...], recorded_term: int = 0) -> Status | None:
     """Return the target that reports to be the primary in the newest term, or None.
 
@@ -84,22 +123,67 @@
         self._driver = app.selected("driver")
         self._view: view.StoreView = app.part("coordination", "view")
         self._pools: pools.TargetPools = app.part("pooling", "pools")
+        self._configuration = app.part("configuration", "state")
 
     async def select_successor(self, record: records.PrimaryRecord) -> Status | None:
-        """Demote the old primary if it is draining; return the target to promote, or None."""
-        statuses = await self._fetch_statuses(record.group)
-        current = newest_primary(statuses, record.term)
-        if current is not None and current.entry.target != record.primary:
+        """Demote the old primary if it is draining; return the target to promote, or None.
+
+        If commits are acknowledged only after replicas received them, this waits up to
+        ``CATCH_UP_TIMEOUT`` for the answers of enough replicas.
+        """
+        until = self._app.clock() + CATCH_UP_TIMEOUT
+        while True:
+            statuses = await self._fetch_statuses(record.group)
+            current = newest_primary(statuses, record.term)
+            if current is not None:
+                return await self._replace_reachable(record, current, statuses)
+            successor = self._choose(statuses, record)
+            if successor is not None or not self._sync_replicas(record.group):
+                return successor
+            if self._app.clock() > until:
+                self._log_incomplete(statuses, record)
+                return None
+            await asyncio.sleep(POLL_INTERVAL)
+
+    async def _replace_reachable(
+        self, record: records.PrimaryRecord, current: Status, statuses: tuple[Status, ...]
+    ) -> Status | None:
+        """Return the target to promote while a target reports that it is the primary."""
+        if current.entry.target != record.primary:
             # The platform executed an earlier promotion request.
             return current
-        if current is None:
-            return choose_successor(statuses, record.primary)
         if not current.entry.draining or choose_successor(statuses, record.primary) is None:
             # The old primary is reachable again and still the primary, or nothing can replace it.
             # A request to promote it with a new token fences off requests still in transit.
             return current
         await self._step_down(current)
-        return choose_successor(await self._await_catch_up(record.group, current), record.primary)
+        caught_up = await self._await_catch_up(record.group, current)
+        successor = self._choose(caught_up, record)
+        if successor is None:
+            self._log_incomplete(caught_up, record)
+        return successor
+
+    def _sync_replicas(self, group: str) -> int:
+        limits = self._configuration.current.groups_by_name.get(group)
+        return limits.sync_replicas if limits else 0
+
+    def _choose(self, statuses: tuple[Status, ...], record: records.PrimaryRecord) -> Status | None:
+        sync_replicas = self._sync_replicas(record.group)
+        if not sync_replicas:
+            return choose_successor(statuses, record.primary)
+        listed = self._view.targets_of(record.group)
+        return choose_complete_successor(statuses, listed, record.primary, sync_replicas)
+
+    def _log_incomplete(self, statuses: tuple[Status, ...], record: records.PrimaryRecord) -> None:
+        logs.log_decision(
+            logger,
+            "await-replicas",
+            group=record.group,
+            token=record.token,
+            answered=sorted(status.entry.target for status in statuses),
+            listed=sorted(entry.target for entry in self._view.targets_of(record.group)),
+            sync_replicas=self._sync_replicas(record.group),
+        )
 
     async def _step_down(self, old: Status) -> None:
         try:
--- a/src/greengageshunt/model.py
+++ b/src/greengageshunt/model.py
@@ -291,10 +291,12 @@
     Attributes:
         group: Name of the group.
         connection_limit: Connections that each target accepts from all callers.
+        sync_replicas: Replicas that have received a commit before it is acknowledged.
     """
 
     group: str
     connection_limit: int
+    sync_replicas: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/src/greengageshunt/platform/decoding.py
+++ b/src/greengageshunt/platform/decoding.py
@@ -138,6 +138,7 @@
             model.GroupLimits(
                 group=_field(service, "name", str),
                 connection_limit=int(_number(service, "max-conns", 0.0)) or 1,
+                sync_replicas=int(_number(service, "sync-replicas", 0.0)),
             )
             for service in _objects(document, "services")
         ),
--- a/src/greengageshunt/pooling/pool.py
+++ b/src/greengageshunt/pooling/pool.py
@@ -206,6 +206,17 @@
         while self._idle:
             self._discard(self._idle.pop())
 
+    def close_idle_above_limit(self, now: float) -> None:
+        """Close the least recently used idle connections while more are open than the limit allows.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        while self._idle and self._open > self.limit(now):
+            least_recent = min(self._idle, key=lambda connection: connection.used_at)
+            self._idle.remove(least_recent)
+            self._discard(least_recent)
+
     def open_ahead(self, account: str, now: float) -> None:
         """Open a connection for a statement of a client account that is about to arrive.
 
--- a/src/greengageshunt/pooling/pools.py
+++ b/src/greengageshunt/pooling/pools.py
@@ -3,6 +3,10 @@
 The connection limit of a target is divided evenly among the listed entry VMs. Outside a full
 mesh, the quota of each can be too small for that. Then the entry VMs share the connections:
 each may open more than its quota, and closes idle connections early.
+
+A change of primary needs the status of replicas whose connections may all be in use. If commits
+are acknowledged only after replicas received them, each entry VM therefore leaves one connection
+of its quota unused while the group changes its primary.
 """
 
 import math
@@ -33,6 +37,9 @@
 # Seconds after which an idle connection above that fraction is closed.
 SPARE_IDLE_LIMIT = 1.0
 
+# Connections of its quota that an entry VM leaves unused during a change of primary.
+CHANGE_RESERVE = 1
+
 
 class TargetPools:
     """Connection pools of the listed targets."""
@@ -45,6 +52,7 @@
         self._configuration = app.part("configuration", "state")
         self._pools: dict[str, pool.TargetPool] = {}
         app.events.connect("targets-changed", self._update)
+        app.events.connect("control-changed", self._close_above_limit)
 
     @property
     def pools(self) -> abc.Collection[pool.TargetPool]:
@@ -73,9 +81,22 @@
 
     def _limit(self, group: str) -> int:
         quota = self._quota(group)
+        reserve = CHANGE_RESERVE if self._must_leave_connections(group) else 0
         if quota >= MIN_QUOTA or self._members.full_mesh:
-            return quota
-        return SHARED_CONNECTION_LIMIT
+            return quota - reserve
+        return SHARED_CONNECTION_LIMIT - reserve
+
+    def _must_leave_connections(self, group: str) -> bool:
+        """Return whether a change of primary may depend on the status of a busy replica."""
+        record = self._view.primary_record(group)
+        limits = self._configuration.current.groups_by_name.get(group)
+        return record is not None and record.changing and bool(limits and limits.sync_replicas)
+
+    def _close_above_limit(self, version: int) -> None:
+        now = self._app.clock()
+        for target_pool in self._pools.values():
+            if self._must_leave_connections(target_pool.entry.group):
+                target_pool.close_idle_above_limit(now)
 
     def _idle_limit(self, group: str, open_count: int) -> float:
         """Return the seconds for which a connection may stay idle.
