Keep an entry VM running while one of its addresses is taken

Reproduced with real processes on: exit code 1 at each start if another program has the address for metrics, peers, sessions or readiness, and for the second of two entry VMs on one address, since both use port 9464 for metrics.

Cause: a server that could not bind its address ended the task group of the program.

Change: a server whose address is not available is tried again each 0.5 s, with a log line at the first failure. Without the metrics page the entry VM serves. Without its address for peers or sessions it is not ready; without the one for peers it has no lease either, since a recall would not reach it.

Evidence: test_taken_address_does_not_end_the_process fails for all four addresses on the code before (task failed, and ready without the address for peers or sessions) and passes now.

--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -38,6 +38,7 @@
         self._store = app.selected("platform")
         self._view: view.StoreView = app.part("coordination", "view")
         self._members = app.part("membership", "view")
+        self._peer_server = app.part("peers", "server")
         self._responsible_since: dict[str, float] = {}
         self._last_heard_at: dict[str, float] = {}
         self._marked_at: dict[str, float] = {}
@@ -64,7 +65,10 @@
         The copy then shows each change of primary that started before the row was written, and
         each later change waits for this process. The copy must have been confirmed since the start
         of the process: an older one of a peer may lack what the predecessor wrote when it stopped.
+        Peers must be able to connect, as a change would otherwise wait for the lease to expire.
         """
+        if not self._peer_server.listening:
+            return False
         row = self._view.row(view.MEMBER_PREFIX + self._me.vm)
         if row is None or not self._has_valid_row:
             return False
@@ -103,10 +107,10 @@
             try:
                 if self._has_valid_row:
                     self._row_written.set()
-                if not self._has_valid_row and not self._app.stopping:
-                    await self._register()
-                else:
+                if self._has_valid_row or self._app.stopping:
                     await self._remove_unresponsive(self._app.clock())
+                elif self._peer_server.listening:
+                    await self._register()
             except errors.PlatformError as error:
                 logger.info(
                     "row of a member not written to the store", extra={"reason": str(error)}
--- a/src/greengageshunt/frontends/pages.py
+++ b/src/greengageshunt/frontends/pages.py
@@ -7,6 +7,8 @@
 
 import h11
 
+from greengageshunt import listening
+
 logger = logging.getLogger(__name__)
 
 READ_SIZE = 4096  # bytes
@@ -28,10 +30,11 @@
 Renderer = abc.Callable[[], Page]
 
 
-async def serve(address: str, renderers: abc.Mapping[str, Renderer]) -> None:
+async def serve(name: str, address: str, renderers: abc.Mapping[str, Renderer]) -> None:
     """Serve pages until cancelled.
 
     Args:
+        name: What the pages show, for the log.
         address: ``host:port``.
         renderers: Functions that render the pages, by path.
     """
@@ -48,7 +51,9 @@
         finally:
             writer.close()
 
-    server = await asyncio.start_server(handle, host, int(port))
+    server = await listening.listen(
+        name, address, lambda: asyncio.start_server(handle, host, int(port))
+    )
     async with server:
         await server.serve_forever()
 
--- a/src/greengageshunt/frontends/readiness.py
+++ b/src/greengageshunt/frontends/readiness.py
@@ -20,6 +20,7 @@
 def decide(
     *,
     stopping: bool,
+    listening: bool,
     configured: bool,
     registered: bool,
     isolated: bool,
@@ -30,6 +31,7 @@
 
     Args:
         stopping: Whether the process has been requested to stop.
+        listening: Whether the process listens for sessions and for peers.
         configured: Whether a configuration is in force.
         registered: Whether the entry VM has been registered once, or has waited for
             ``REGISTRATION_WAIT_LIMIT``.
@@ -40,6 +42,8 @@
     """
     if stopping:
         return False, "stopping"
+    if not listening:
+        return False, "an address is not available"
     if not configured:
         return False, "no configuration"
     if not registered:
@@ -64,6 +68,8 @@
         self._configuration = app.part("configuration", "state")
         self._members = app.part("coordination", "members")
         self._isolation = app.part("coordination", "isolation")
+        self._peer_server = app.part("peers", "server")
+        self._frontend = app.part("frontend", "lines")
         self._started_at = app.clock()
         self._registered_or_waited = False
         self._last_reported: tuple[bool, str] | None = None
@@ -76,7 +82,8 @@
 
     async def run(self) -> None:
         """Serve the page until cancelled."""
-        await pages.serve(self._app.settings["readiness.address"], {"/readiness": self._respond})
+        address = self._app.settings["readiness.address"]
+        await pages.serve("readiness", address, {"/readiness": self._respond})
 
     def _respond(self) -> pages.Page:
         copy = self._view.copy(records.Section.TARGETS)
@@ -88,6 +95,7 @@
         )
         ready, reason = reported = decide(
             stopping=self._app.stopping,
+            listening=self._peer_server.listening and self._frontend.listening,
             configured=self._configuration.version > 0,
             registered=self._registered_or_waited,
             isolated=self._isolation.isolated_seconds(now) > 0,
--- a/src/greengageshunt/metrics/entry.py
+++ b/src/greengageshunt/metrics/entry.py
@@ -113,7 +113,7 @@
         """Serve the page until cancelled."""
         address = self._app.settings["metrics.address"]
         async with asyncio.TaskGroup() as group:
-            group.create_task(pages.serve(address, {"/metrics": self._respond}))
+            group.create_task(pages.serve("metrics", address, {"/metrics": self._respond}))
             group.create_task(self._sample_lag())
 
     async def _sample_lag(self) -> None:
--- a/src/greengageshunt/peers/server.py
+++ b/src/greengageshunt/peers/server.py
@@ -9,7 +9,7 @@
 import websockets
 from websockets.asyncio import server
 
-from greengageshunt import application, config, errors
+from greengageshunt import application, config, errors, listening
 from greengageshunt.peers import link, messages
 
 logger = logging.getLogger(__name__)
@@ -29,6 +29,12 @@
         self._answer_tasks: set[asyncio.Task[None]] = set()
         self._idle = asyncio.Event()
         self._idle.set()
+        self._listening = False
+
+    @property
+    def listening(self) -> bool:
+        """Whether peers can connect."""
+        return self._listening
 
     def add_handler(self, kind: type, handler: Handler) -> None:
         """Register the handler of a message kind.
@@ -42,17 +48,26 @@
 
     async def run(self) -> None:
         """Accept connections of peers until cancelled."""
-        host, _, port = self._app.settings["vm.peer_address"].rpartition(":")
-        async with server.serve(
-            self._serve,
-            host,
-            int(port),
-            ping_interval=None,
-            max_size=link.FRAME_LIMIT,
-            compression=None,
-            close_timeout=link.CLOSE_TIMEOUT,
-        ):
-            await asyncio.Event().wait()
+        address = self._app.settings["vm.peer_address"]
+        host, _, port = address.rpartition(":")
+
+        async def start() -> server.Server:
+            return await server.serve(
+                self._serve,
+                host,
+                int(port),
+                ping_interval=None,
+                max_size=link.FRAME_LIMIT,
+                compression=None,
+                close_timeout=link.CLOSE_TIMEOUT,
+            )
+
+        async with await listening.listen("peers", address, start):
+            self._listening = True
+            try:
+                await asyncio.Event().wait()
+            finally:
+                self._listening = False
 
     async def stop(self) -> None:
         """Wait until all pending requests of peers are answered."""
--- a/src/greengageshunt/platform/frontend.py
+++ b/src/greengageshunt/platform/frontend.py
@@ -5,7 +5,7 @@
 
 from returns import result
 
-from greengageshunt import application, config
+from greengageshunt import application, config, listening
 from greengageshunt.platform import wire
 from greengageshunt.pooling import host as host_module
 from greengageshunt.pooling import session as session_module
@@ -67,6 +67,12 @@
         self._grace_period = app.settings["stop.grace"]
         self._connections: set[_CallerConnection] = set()
         self._closing = False
+        self._listening = False
+
+    @property
+    def listening(self) -> bool:
+        """Whether callers can connect."""
+        return self._listening
 
     @property
     def open_connections(self) -> int:
@@ -75,13 +81,22 @@
 
     async def run(self) -> None:
         """Accept connections until cancelled."""
-        host, _, port = self._app.settings["sessions.address"].rpartition(":")
-        server = await asyncio.start_server(
-            self._serve, host, int(port), limit=wire.LINE_LIMIT, backlog=BACKLOG
+        address = self._app.settings["sessions.address"]
+        host, _, port = address.rpartition(":")
+        server = await listening.listen(
+            "sessions",
+            address,
+            lambda: asyncio.start_server(
+                self._serve, host, int(port), limit=wire.LINE_LIMIT, backlog=BACKLOG
+            ),
         )
-        async with server, asyncio.TaskGroup() as group:
-            group.create_task(server.serve_forever())
-            group.create_task(self._close_while_isolated())
+        try:
+            async with server, asyncio.TaskGroup() as group:
+                self._listening = True
+                group.create_task(server.serve_forever())
+                group.create_task(self._close_while_isolated())
+        finally:
+            self._listening = False
 
     async def _close_while_isolated(self) -> None:
         """Close idle sessions while this entry VM is isolated, so that callers reconnect.
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -18,6 +18,7 @@
 
 GROUP = "ledger"
 METRICS_PORT = 9464  # as in deploy/system.toml
+PEER_PORT = 17560
 GRACE = 4  # seconds from SIGTERM until the platform kills an entry VM
 
 BOUNDS = {
@@ -105,7 +106,7 @@
             "ip": host,
             "listen.front": f"{host}:{self.front}",
             "listen.ready": f"{host}:{self.ready}",
-            "internal-port-range": "17560,17575",
+            "internal-port-range": f"{PEER_PORT},{PEER_PORT + 15}",
             "platform.address": f"127.0.0.1:{store_port}",
             "cloud.address": f"127.0.0.1:{store_port}",
             **{f"bounds.{key}": value for key, value in BOUNDS.items()},
--- a/tests/support/store_fleet.py
+++ b/tests/support/store_fleet.py
@@ -242,6 +242,8 @@
 class Links:
     """Heartbeats and requests of one entry VM."""
 
+    listening = True
+
     def __init__(self, *, fleet: "Fleet") -> None:
         self._fleet = fleet
         self.values: dict[str, tuple] = {}
--- a/tests/test_coordination/test_members.py
+++ b/tests/test_coordination/test_members.py
@@ -50,6 +50,8 @@
         app.add_event("members-changed")
         app.add_part("platform", "table", lambda app: self.store)
         app.add_part("membership", "view", lambda app: self.members_view)
+        self.peer_server = types.SimpleNamespace(listening=True)
+        app.add_part("peers", "server", lambda app: self.peer_server)
         view.setup(app)
         app.configure(config.Settings(values={"parts.platform": "table"}, source="test"))
         self.registry = members.MemberRegistry(app=app)
@@ -176,3 +178,16 @@
 async def test_process_replaces_a_row_that_is_not_valid_for_it(fields):
     """Guards against a process that uses a primary but gets no lease recalls."""
     assert await _register(**fields) == ["a-0"]
+
+
+async def test_process_that_peers_cannot_reach_is_not_registered():
+    """Guards against a lease whose recall never arrives, so that each change waits for its end."""
+    fleet = _Fleet(MEMBERS[0])
+    row = records.ControlRow(key="members/a-0", version=7, value=codec.to_json(fleet.registry.me))
+    changes = records.Changes(
+        is_snapshot=False, rows=(row,), removed=(), version=7, as_of=fleet.now
+    )
+    fleet.view.apply(records.Section.CONTROL, changes, "test")
+    assert fleet.registry.registered
+    fleet.peer_server.listening = False
+    assert not fleet.registry.registered
--- a/tests/test_frontends/test_readiness.py
+++ b/tests/test_frontends/test_readiness.py
@@ -9,6 +9,7 @@
 def _decide(**fields):
     given = {
         "stopping": False,
+        "listening": True,
         "configured": True,
         "registered": True,
         "isolated": False,
@@ -22,6 +23,7 @@
     """Guards against new connections to an entry VM that cannot serve them."""
     assert _decide()
     assert not _decide(stopping=True)
+    assert not _decide(listening=False)
     assert not _decide(configured=False)
     assert not _decide(registered=False)
     assert not _decide(isolated=True)
@@ -44,6 +46,9 @@
     app.add_part("configuration", "state", lambda app: types.SimpleNamespace(version=1))
     app.add_part("coordination", "members", lambda app: types.SimpleNamespace(registered=True))
     app.add_part("coordination", "isolation", lambda app: isolation)
+    listening = types.SimpleNamespace(listening=True)
+    app.add_part("peers", "server", lambda app: listening)
+    app.add_part("frontend", "lines", lambda app: listening)
     page = readiness.Readiness(app=app)
     assert page._respond().status == 200 and page.consecutive_unready_responses == 0
     isolation.seconds = 0.5
--- a/tests/test_platform/test_entry.py
+++ b/tests/test_platform/test_entry.py
@@ -4,6 +4,7 @@
 import pathlib
 import random
 import signal
+import socket
 import statistics
 import time
 
@@ -376,6 +377,45 @@
     assert 'value_unreadable_total{table="servers"} 1.0' in await entry_fleet.metrics(fleet.vms[0])
 
 
+@pytest.mark.parametrize("listener", ["metrics", "peers", "sessions", "readiness"])
+async def test_taken_address_does_not_end_the_process(tmp_path, listener):
+    """Guards against an entry VM that ends at each start because another program has its address.
+
+    Without the metrics page it serves. Without one of the others it is not ready, and it serves
+    once the address is free.
+    """
+    fleet = entry_fleet.Fleet(folder=tmp_path, size=2)
+    vm = fleet.vms[1]
+    port = {
+        "metrics": entry_fleet.METRICS_PORT,
+        "peers": entry_fleet.PEER_PORT,
+        "sessions": vm.front,
+        "readiness": vm.ready,
+    }[listener]
+    with socket.socket() as taken:
+        taken.bind((vm.host, port))
+        taken.listen()
+        async with fleet:
+            fleet.configure(1, keys=KEYS)
+            until = time.monotonic() + 10
+            while not vm.lines("address not available"):
+                assert time.monotonic() < until
+                await asyncio.sleep(0.05)
+            if listener == "metrics":
+                await fleet.wait_ready()
+                assert await _write_until_served(vm, 1.0) < 1.0
+            elif listener != "readiness":
+                # Longer than a process waits for its registration before it counts as ready.
+                await asyncio.sleep(6.0)
+                assert await entry_fleet.ready(vm) == 503
+            taken.close()
+            await fleet.wait_ready()
+            assert await _write_until_served(vm, 1.0) < 1.0
+            assert vm.process.poll() is None
+            lines = vm.lines("address not available")
+            assert [line["listener"] for line in lines] == [listener]
+
+
 async def test_all_restarted_processes_serve_again(fleet):
     """Guards against required state that is lost when all processes restart together."""
     for vm in fleet.vms:
