Ask an entry VM that answered a recall only once

An answer that names entry VMs of an ended era may name one that answered in the same round. It has confirmed that it has no lease, but was asked again 0.2 s later.

unknown_until of the memory of ended eras becomes a property.

--- a/src/greengageshunt/coordination/eras.py
+++ b/src/greengageshunt/coordination/eras.py
@@ -30,7 +30,7 @@
 
 
 class EraMemory:
-    """Knows until when unknown processes may have leases, and writes when they have expired."""
+    """Knows until when unknown processes may have leases, and writes once they have expired."""
 
     restartable = True
 
@@ -44,8 +44,9 @@
         self._unknown_until = -math.inf
         app.events.connect("era-noted", self._note_era)
 
+    @property
     def unknown_until(self) -> float:
-        """Return the monotonic seconds until which unknown processes may have leases."""
+        """Monotonic seconds until which unknown processes may have leases."""
         return -math.inf if self._expired_by_store else self._unknown_until
 
     @property
@@ -61,7 +62,7 @@
         Args:
             now: Monotonic seconds.
         """
-        return now >= self.unknown_until()
+        return now >= self.unknown_until
 
     async def run(self) -> None:
         """Write to the store, once in each era, that the leases of earlier eras have expired."""
--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -469,7 +469,7 @@
         stopped = {
             vm for vm, entry in self._view.members.items() if vm in pending and entry.stopped
         }
-        return (pending - answered - stopped) | named
+        return (pending | named) - answered - stopped
 
     async def _notify_peers(self, row: records.ControlRow) -> None:
         """Send the row that ends a change to all registered entry VMs."""
--- a/tests/test_coordination/test_ended_eras.py
+++ b/tests/test_coordination/test_ended_eras.py
@@ -120,7 +120,7 @@
     world.fleet.start(world.fleet.listed[0])
     await asyncio.sleep(1.0)
     vm = world.fleet.running[world.fleet.listed[0].vm]
-    left = vm.app.part("coordination", "eras").unknown_until() - vm.app.clock()
+    left = vm.app.part("coordination", "eras").unknown_until - vm.app.clock()
     await world.stop()
     return value, left
 
