--- a/src/greengageshunt/programs/entry.py
+++ b/src/greengageshunt/programs/entry.py
@@ -53,6 +53,7 @@
     "greengageshunt.coordination.detection",
     "greengageshunt.coordination.orders",
     "greengageshunt.coordination.succession",
+    "greengageshunt.coordination.recall",
     "greengageshunt.coordination.promotion",
     "greengageshunt.frontends.readiness",
     "greengageshunt.platform.frontend",
--- a/tests/support/primary_world.py
+++ b/tests/support/primary_world.py
@@ -6,7 +6,16 @@
 import types
 
 from greengageshunt import errors, model
-from greengageshunt.coordination import eras, lease, orders, promotion, records, succession, view
+from greengageshunt.coordination import (
+    eras,
+    lease,
+    orders,
+    promotion,
+    recall,
+    records,
+    succession,
+    view,
+)
 from support import store_fleet
 
 GROUP = "g"
@@ -114,7 +123,7 @@
         platform = self.platform
         pool = types.SimpleNamespace(close_idle=lambda: None)
         pools = types.SimpleNamespace(pool=lambda entry: pool)
-        for plugin in (lease, eras, orders, succession, promotion):
+        for plugin in (lease, eras, orders, recall, succession, promotion):
             plugin.setup(app)
         app.add_part("duty", "failover", lambda app: platform)
         app.add_part("driver", "fake", lambda app: platform)
--- a/tests/test_coordination/test_orders.py
+++ b/tests/test_coordination/test_orders.py
@@ -7,7 +7,7 @@
 import pytest
 
 from greengageshunt import application, config, errors
-from greengageshunt.coordination import lease, orders, promotion, records, view
+from greengageshunt.coordination import lease, orders, recall, records, view
 from greengageshunt.standins import memory
 
 
@@ -129,13 +129,13 @@
 async def _take_over_during_an_order() -> list[int]:
     platform = _Platform(travel_seconds=0.8)
     own_orders, store_view = _orders(platform)
-    promoter = promotion.Promoter.__new__(promotion.Promoter)
-    promoter._view, promoter._orders = store_view, own_orders
-    promoter._executor, promoter._members = _Executor(), _Members()
+    recalls = recall.Recall.__new__(recall.Recall)
+    recalls._view, recalls._orders = store_view, own_orders
+    recalls._executor, recalls._members = _Executor(), _Members()
     order = asyncio.create_task(own_orders.make_primary(INTENT, _row(INTENT, 7), "t-2"))
     await asyncio.sleep(0.1)
     taken_over = dataclasses.replace(INTENT, token=6, holder="vm-2")
-    await promoter._answer_recall(records.LeaseRecall(row=_row(taken_over, 8)), 0.0)
+    await recalls._answer(records.LeaseRecall(row=_row(taken_over, 8)), 0.0)
     platform.tokens.append(taken_over.token)
     await order
     return platform.tokens
--- a/tests/test_coordination/test_promotion.py
+++ b/tests/test_coordination/test_promotion.py
@@ -4,7 +4,7 @@
 import json
 
 from greengageshunt import application, config, errors, model
-from greengageshunt.coordination import detection, promotion, records, succession, view
+from greengageshunt.coordination import detection, promotion, recall, records, succession, view
 from greengageshunt.membership import view as member_view
 from greengageshunt.stores import rows
 
@@ -125,6 +125,7 @@
         app.add_part(role, name, lambda app: _Part())
     values = {"parts.platform": "fake", "parts.driver": "fake"}
     app.configure(config.Settings(values=values, source="test"))
+    recall.setup(app)
     return promotion.Promoter(app=app), app.part("coordination", "view")
 
 
@@ -193,8 +194,9 @@
     store_view.apply_row(_member_row("vm-4", 4, stopped=True))
     row = records.ControlRow(key="groups/g", version=9, value="{}")
     asked = frozenset({"vm-2", "vm-3", "vm-4"})
-    answers = await promoter._request_recall(asked, row)
-    assert promoter._pending_after(asked, answers, 100.0) == {"vm-3"}
+    recalls = promoter._recall
+    answers = await recalls._request_recalls(asked, row)
+    assert recalls._pending_after(asked, answers, 100.0) == {"vm-3"}
 
 
 def test_change_of_a_restarted_holder_is_taken_over_early():
