Test that the peer links open again after a restart

Guards the change of: PeerLinks forgets its links when its run ends. Without that, the next request fails with "the peer link was lost before the answer" (run with the two lines removed).

--- a/tests/test_peers/test_on_demand.py
+++ b/tests/test_peers/test_on_demand.py
@@ -117,3 +117,20 @@
     async with _links_on_demand(Peer()) as (peer_links, _):
         with pytest.raises(errors.PeerError):
             await peer_links.request("vm-99", messages.Leaving(vm="vm"), 2.0)
+
+
+async def test_links_open_again_after_a_restart():
+    """Guards against links whose tasks have ended, and which no later request can use.
+
+    ``run`` is called again after a failure, and its first call has cancelled the tasks.
+    """
+    peer = Peer()
+    async with _links_on_demand(peer) as (peer_links, vm):
+        message = messages.Leaving(vm="vm")
+        await peer_links.request(vm, message, 2.0)
+        first = asyncio.create_task(peer_links.run())
+        await asyncio.sleep(0)
+        first.cancel()
+        await asyncio.wait({first})
+        assert await peer_links.request(vm, message, 2.0) == messages.Acknowledged()
+        assert peer.connections == 2
