Announce the end of a session before its connection is closed

Callers saw a connection that ended without an answer when their next statement was on the way while a planned stop, or an isolated entry VM, closed their idle session. The caller of a write could not tell whether it ran.

Cause: the connection was closed at once. A statement that crosses the close lies unread in the socket, which then resets the connection.

The entry VM now sends an ERROR line with the code BUSY while the session awaits a statement, and goes on reading for up to 1 s. An idle caller closes the session; for a caller whose statement is on the way the line is the answer, completed by READY, and the statement does not run. The same holds for a transaction that a stop aborts.

--- a/src/greengageshunt/platform/frontend.py
+++ b/src/greengageshunt/platform/frontend.py
@@ -5,7 +5,7 @@
 
 from returns import result
 
-from greengageshunt import application, config, listening
+from greengageshunt import application, config, listening, logs
 from greengageshunt.platform import wire
 from greengageshunt.pooling import host as host_module
 from greengageshunt.pooling import session as session_module
@@ -43,13 +43,21 @@
 # needs the rest to exit before it is killed.
 CLOSE_MARGIN = 0.8
 
-# Seconds for which a connection must have been idle before it is closed. A caller sends its first
-# statement as soon as its session is open, so one may be on the way.
+# Seconds for which a session must have been idle before its end is announced. A caller sends its
+# first statement as soon as its session is open, so one may be on the way.
 MIN_IDLE = 0.25
 
+# Seconds from the announcement of a session's end until its connection is closed, if the caller
+# has not closed it. Covers a round trip to a caller whose next statement is on the way.
+ANNOUNCED_CLOSE_DELAY = 1.0
+
 # Seconds for the last answers to be sent once all connections are closed.
 FLUSH_TIMEOUT = 0.1
 
+# Line that announces the end of a session. A caller that is idle closes the session when it reads
+# the line. For one whose next statement is on the way, it is the answer: the statement doesn't run.
+_ANNOUNCEMENT = wire.encode_error(statements.Code.BUSY, "this entry VM ends the session; not run")
+
 
 class _CallerConnection:
     """One connection of a caller, and its session once it is open."""
@@ -59,17 +67,49 @@
         self.session: session_module.Session | None = None
         self.idle_since: float | None = None
         self.runs_statement = False
+        self._end_announced = False
+        self._announcement_answers_next = False
 
-    def close_if_idle(self, now: float) -> None:
-        """Close the connection if it has been idle for a while and has no open transaction.
+    @property
+    def end_announced(self) -> bool:
+        """Whether the caller was told that the session ends, so that no statement runs any more."""
+        return self._end_announced
+
+    @property
+    def _state(self) -> statements.TransactionState:
+        if self.session is None:
+            return statements.TransactionState.NONE
+        return self.session.state
+
+    def announce_end_if_idle(self, now: float) -> None:
+        """Announce the end of the session if it has been idle for a while outside a transaction.
 
         Args:
             now: Monotonic seconds.
         """
         if self.idle_since is None or now - self.idle_since < MIN_IDLE:
             return
-        if self.session is None or self.session.state is statements.TransactionState.NONE:
-            self.writer.close()
+        if self._state is statements.TransactionState.NONE:
+            self.announce_end()
+
+    def announce_end(self) -> None:
+        """Announce the end of the session to a caller that awaits no answer.
+
+        The connection is closed later. If it were closed at once, a statement that is on the way
+        would get no answer, and the caller of a write could not tell whether it ran.
+        """
+        if self._end_announced:
+            return
+        self._end_announced = self._announcement_answers_next = True
+        self.writer.write(_ANNOUNCEMENT)
+        asyncio.get_running_loop().call_later(ANNOUNCED_CLOSE_DELAY, self.writer.close)
+
+    def refuse_after_announcement(self) -> None:
+        """Answer a statement that arrived after the announcement; it does not run."""
+        if not self._announcement_answers_next:
+            self.writer.write(_ANNOUNCEMENT)
+        self._announcement_answers_next = False
+        self.writer.write(wire.encode_ready(self._state))
 
     def close(self) -> None:
         """Close the connection; a statement in progress is answered with an unknown outcome."""
@@ -140,7 +180,7 @@
             )
             if isolated_seconds and out_of_rotation:
                 for connection in tuple(self._connections):
-                    connection.close_if_idle(self._app.clock())
+                    connection.announce_end_if_idle(self._app.clock())
             await asyncio.sleep(ISOLATION_INTERVAL * members.own_interval_factor)
 
     async def stop(self) -> None:
@@ -159,7 +199,7 @@
             if not self._connections or self._app.clock() >= accept_until:
                 self._stop_listening()
             for connection in tuple(self._connections):
-                connection.close_if_idle(self._app.clock())
+                connection.announce_end_if_idle(self._app.clock())
             if self._app.clock() > transaction_deadline:
                 await self._abort_idle_transactions()
             await asyncio.sleep(CLOSE_INTERVAL)
@@ -178,12 +218,12 @@
     async def _abort_idle_transactions(self) -> None:
         for connection in tuple(self._connections):
             session = connection.session
-            if connection.idle_since is None or session is None:
+            if connection.idle_since is None or session is None or connection.end_announced:
                 continue
             if session.state is not statements.TransactionState.NONE:
-                if session.state is statements.TransactionState.OPEN:
-                    await session.abort_transaction("the entry VM is stopping")
-                connection.writer.close()
+                # The announcement comes first: a statement may arrive during the roll-back.
+                connection.announce_end()
+                await session.abort_transaction("the entry VM is stopping")
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = _CallerConnection(writer=writer)
@@ -233,6 +273,18 @@
             statement = wire.decode_query(line)
             if statement is None:
                 return
+            if connection.end_announced:
+                logs.log_decision(
+                    logger,
+                    "session-ended",
+                    level=logging.WARNING,
+                    request=statement.id,
+                    statement=statement.kind.value,
+                    outcome="BUSY",
+                )
+                connection.refuse_after_announcement()
+                await connection.writer.drain()
+                continue
             connection.runs_statement = True
             answer = await session.run_statement(statement, self._app.clock())
             if not connection.runs_statement:
@@ -241,7 +293,7 @@
             connection.writer.write(wire.encode_answer(answer))
             await connection.writer.drain()
             if self._closing and session.state is statements.TransactionState.NONE:
-                return
+                connection.announce_end()
 
     async def _read_line(
         self, session: session_module.Session, reader: asyncio.StreamReader
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -58,6 +58,7 @@
     keys: abc.Mapping[str, list[str]],
     rate: float = 1000,
     timeout: float = 2.0,
+    idle_limit: float = 1.0,
 ) -> dict:
     """Return an operator's configuration document: three databases on one group."""
     kinds = ("primary", "bounded_staleness", "read_your_writes")
@@ -78,7 +79,7 @@
             for kind in kinds
         ],
         "services": [{"name": GROUP, "max-conns": 16, "sync-replicas": 0}],
-        "limits": {"tx-idle-ms": 1000},
+        "limits": {"tx-idle-ms": round(idle_limit * 1000)},
         "tenants": [
             {"name": name, "api-keys": api_keys, "rate-per-s": rate, "burst": rate}
             for name, api_keys in keys.items()
@@ -301,6 +302,10 @@
         """Return a statement id that is unique in this test process."""
         return f"q{next(_STATEMENT_IDS):08x}"
 
+    async def read_line(self) -> str:
+        """Return the next line that arrives, or an empty one at the end of the connection."""
+        return (await self._reader.readline()).decode().strip()
+
     async def run(self, text: str, statement_id: str = "") -> tuple[list[str], str]:
         """Run a statement; return its response lines, and the transaction state after it."""
         self._writer.write(f"QUERY {statement_id or self.next_id()} {text}\r\n".encode())
