Wait in a stop until the last answers are sent

An answer that a slow caller had not received in full was cut when the process ended: the front end forgot a connection as soon as it was told to close, while up to 64 KiB of the answer were still in the transport's buffer.

--- a/src/greengageshunt/platform/frontend.py
+++ b/src/greengageshunt/platform/frontend.py
@@ -1,6 +1,7 @@
 """Front end for callers that use the line protocol: one task for each connection."""
 
 import asyncio
+import contextlib
 import logging
 
 from returns import result
@@ -238,10 +239,13 @@
                 "caller connection failed", extra={"reason": str(error) or type(error).__name__}
             )
         finally:
-            self._connections.discard(connection)
             if connection.session is not None:
                 await connection.session.close()
             writer.close()
+            # The stop waits for this connection until the caller has received the last answer.
+            with contextlib.suppress(OSError):
+                await writer.wait_closed()
+            self._connections.discard(connection)
 
     async def _open_session(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
