Do not accept sessions once a stop has ended their intake

A front end that waits for its address, or that runs again after a fault, started to listen although the stop had passed its check for open sessions. What it accepted was cut by the exit of the process.

test_address_that_becomes_available_during_a_stop_is_not_used failed before (the front end listened) and passes now.

--- a/src/greengageshunt/platform/frontend.py
+++ b/src/greengageshunt/platform/frontend.py
@@ -133,6 +133,7 @@
         self._grace_period = app.settings["stop.grace"]
         self._connections: set[_CallerConnection] = set()
         self._closing = False
+        self._intake_ended = False
         self._server: asyncio.Server | None = None
 
     @property
@@ -156,6 +157,10 @@
                 self._serve, host, int(port), limit=wire.LINE_LIMIT, backlog=BACKLOG
             ),
         )
+        if self._intake_ended:
+            # The address became available only after the stop had ended the intake.
+            server.close()
+            return
         try:
             async with server, asyncio.TaskGroup() as group:
                 self._server = server
@@ -212,6 +217,7 @@
             await asyncio.sleep(FLUSH_TIMEOUT)
 
     def _stop_listening(self) -> None:
+        self._intake_ended = True
         if self._server is not None:
             self._server.close()
             self._server = None
--- a/tests/test_platform/test_frontend.py
+++ b/tests/test_platform/test_frontend.py
@@ -114,3 +114,19 @@
             lines = [await reader.readline() for _ in range(3)]
             assert lines[1:] == [b"COMPLETE signature\r\n", b"READY I -\r\n"]
             await asyncio.wait_for(stopping, GRACE)
+
+
+async def test_address_that_becomes_available_during_a_stop_is_not_used(app):
+    """Guards against sessions that are accepted after a stop has ended, and are cut by the exit."""
+    address = app.settings["sessions.address"]
+    host, _, port = address.rpartition(":")
+    started = frontend.LineFrontend(app=app)
+    with socket.socket() as taken:
+        taken.bind((host, int(port)))
+        taken.listen()
+        task = asyncio.create_task(started.run())
+        await asyncio.sleep(0.1)
+        app.request_stop()
+        await started.stop()
+    await asyncio.wait_for(task, 2.0)
+    assert not started.listening
