Read a settings file again while another process writes it

The platform replaces the file at every start and whenever the settings change, so a start beside a change can find it between two writes. A reload lost the change in the same way.

The file is now read again for up to 10 s, with the log lines 'settings file incomplete' and 'settings file complete', while it cannot be opened, lacks a required field or ends within a line. A last line without a line end is taken once two reads agree. A wrong value in a complete file ends the process with exit code 2 at once, as before.

test_start_beside_a_replacement_of_the_file_goes_on failed before in its four cases (exit code 2) and passes now, as does test_reload_beside_a_replacement_of_the_file_reads_it_again.

--- a/src/greengageshunt/config.py
+++ b/src/greengageshunt/config.py
@@ -1,13 +1,28 @@
 """Declared settings, read from TOML files and checked before a daemon starts."""
 
+import asyncio
 import dataclasses
+import logging
 import pathlib
 import tomllib
 from collections import abc
 from typing import Any
 
+from greengageshunt import clock as clock_module
 from greengageshunt import errors
 
+logger = logging.getLogger(__name__)
+
+# Reads a settings file and checks it against the declared settings.
+Load = abc.Callable[[pathlib.Path, abc.Mapping[str, "Setting"]], "Settings"]
+
+# Seconds for which an incomplete settings file is read again. Whoever replaces it takes up to some
+# seconds; after that, the program's end shows the operator that the file stays incomplete.
+COMPLETION_TIMEOUT = 10.0
+
+# Seconds between two reads of a file that may be incomplete.
+COMPLETION_INTERVAL = 0.1
+
 _NO_DEFAULT = object()
 
 
@@ -36,11 +51,30 @@
 
 
 class Settings:
-    """Values of all declared settings of one program."""
+    """Values of all declared settings of one program.
 
-    def __init__(self, *, values: abc.Mapping[str, Any], source: str) -> None:
+    Args:
+        values: Values by dotted key.
+        source: Path of the file from which the values were read.
+        terminated: Whether the file's last line is terminated. If not, its value may be cut.
+    """
+
+    def __init__(
+        self, *, values: abc.Mapping[str, Any], source: str, terminated: bool = True
+    ) -> None:
         self._values = dict(values)
         self._source = source
+        self._terminated = terminated
+
+    @property
+    def terminated(self) -> bool:
+        """Whether the file's last line is terminated."""
+        return self._terminated
+
+    @property
+    def values(self) -> abc.Mapping[str, Any]:
+        """Values by dotted key."""
+        return self._values
 
     @property
     def source(self) -> str:
@@ -161,3 +195,48 @@
     except UnicodeDecodeError as error:
         raise errors.SettingsError(f"{path}: expected UTF-8 text: {error.reason}") from error
     return parse(text, declared, str(path))
+
+
+async def load_when_complete(
+    load: Load,
+    path: pathlib.Path,
+    declared: abc.Mapping[str, Setting],
+    *,
+    clock: clock_module.Clock,
+) -> Settings:
+    """Read a settings file; read it again while it is missing or ends early.
+
+    The file may be replaced at any moment, and a reader may find it between two writes.
+
+    Args:
+        load: Reads and checks the file.
+        path: The file.
+        declared: Settings by dotted key.
+        clock: Clock of the program.
+
+    Raises:
+        IncompleteSettingsError: The file is still incomplete after ``COMPLETION_TIMEOUT`` seconds.
+        SettingsError: The file is complete and has a wrong value.
+    """
+    started_at = clock()
+    reported = False
+    previous: Settings | None = None
+    while True:
+        try:
+            settings = load(path, declared)
+        except errors.IncompleteSettingsError as error:
+            if clock() - started_at > COMPLETION_TIMEOUT:
+                raise
+            if not reported:
+                logger.warning("settings file incomplete", extra={"reason": str(error)})
+            reported = True
+        else:
+            # Only a second read tells whether an unterminated last line is cut.
+            unchanged = previous is not None and settings.values == previous.values
+            if settings.terminated or unchanged:
+                if reported:
+                    waited = round(clock() - started_at, 3)
+                    logger.info("settings file complete", extra={"waited": waited})
+                return settings
+            previous = settings
+        await asyncio.sleep(COMPLETION_INTERVAL)
--- a/src/greengageshunt/errors.py
+++ b/src/greengageshunt/errors.py
@@ -62,6 +62,10 @@
         super().__init__(message, step="settings", peer=peer)
 
 
+class IncompleteSettingsError(SettingsError):
+    """A settings file is missing or ends early, as while another process writes it."""
+
+
 class RegistryError(GreengageshuntError):
     """A plug-in is invalid or registers a name twice, or an unknown name is requested."""
 
--- a/src/greengageshunt/platform/settings.py
+++ b/src/greengageshunt/platform/settings.py
@@ -20,32 +20,52 @@
 }
 
 
-def read_fields(path: pathlib.Path) -> dict[str, str]:
-    """Return the fields of a settings file with lines of the form ``a.b=value``.
+def read_text(path: pathlib.Path) -> str:
+    """Return the text of a settings file.
 
     Raises:
-        SettingsError: The file cannot be read, or a line has no ``=``.
+        IncompleteSettingsError: The file cannot be opened, or ends within a character.
+        SettingsError: The file is not UTF-8 text.
     """
     try:
-        text = path.read_text(encoding="utf-8")
+        content = path.read_bytes()
     except OSError as error:
-        raise errors.SettingsError(f"{path}: cannot be read: {error.strerror}") from error
+        raise errors.IncompleteSettingsError(f"{path}: cannot be read: {error.strerror}") from error
+    try:
+        return content.decode()
     except UnicodeDecodeError as error:
-        raise errors.SettingsError(f"{path}: expected UTF-8 text: {error.reason}") from error
+        at_end = error.end == len(content)
+        kind = errors.IncompleteSettingsError if at_end else errors.SettingsError
+        raise kind(f"{path}: expected UTF-8 text: {error.reason}") from error
+
+
+def decode_fields(text: str, source: str) -> dict[str, str]:
+    """Return the fields of lines of the form ``a.b=value``.
+
+    Args:
+        text: Text of the file.
+        source: Name of the file for error messages.
+
+    Raises:
+        IncompleteSettingsError: The last line is not terminated and has no ``=``.
+        SettingsError: Another line has no ``=``.
+    """
     fields = {}
-    for number, line in enumerate(text.splitlines(), start=1):
+    for number, line in enumerate(text.splitlines(keepends=True), start=1):
         if not line.strip() or line.lstrip().startswith("#"):
             continue
         name, separator, value = line.partition("=")
         if not separator:
-            raise errors.SettingsError(f"{path}:{number}: expected name=value, got {line!r}")
+            terminated = line.endswith("\n")
+            kind = errors.SettingsError if terminated else errors.IncompleteSettingsError
+            raise kind(f"{source}:{number}: expected name=value, got {line.strip()!r}")
         fields[name.strip()] = value.strip()
     return fields
 
 
 def _required(fields: abc.Mapping[str, str], name: str, source: str) -> str:
     if not fields.get(name):
-        raise errors.SettingsError(
+        raise errors.IncompleteSettingsError(
             f"{source}: {name}: missing or empty; expected a value", peer=source
         )
     return fields[name]
@@ -125,10 +145,19 @@
         defaults: Values of settings for which the platform has no field.
 
     Raises:
+        IncompleteSettingsError: The file is missing, or ends before all fields are there.
         SettingsError: Names the file, the field and what was expected.
     """
     source = str(path)
-    values = {**defaults, **values_of(read_fields(path), source)}
+    text = read_text(path)
+    terminated = text.endswith("\n")
+    try:
+        values = {**defaults, **values_of(decode_fields(text, source), source)}
+    except errors.SettingsError as error:
+        if terminated or isinstance(error, errors.IncompleteSettingsError):
+            raise
+        # The wrong value may be that of the last line, which is cut.
+        raise errors.IncompleteSettingsError(str(error), peer=source) from error
     checked = {}
     for key, setting in declared.items():
         if key in values:
@@ -139,4 +168,4 @@
             )
         else:
             checked[key] = setting.default
-    return config.Settings(values=checked, source=source)
+    return config.Settings(values=checked, source=source, terminated=terminated)
--- a/src/greengageshunt/programs/common.py
+++ b/src/greengageshunt/programs/common.py
@@ -15,8 +15,8 @@
 
 EXIT_INVALID_SETTINGS = 2
 
-# Reads a settings file and checks it against the declared settings.
-Load = abc.Callable[[pathlib.Path, abc.Mapping[str, config.Setting]], config.Settings]
+# Level of the log lines that come before the settings.
+_FIRST_LOG_LEVEL = "INFO"
 
 # Default name of the part that serves each role.
 _DEFAULT_PARTS = {
@@ -81,7 +81,7 @@
     description: str,
     extensions: abc.Iterable[str],
     *,
-    load: Load = config.load,
+    load: config.Load = config.load,
     settings_variable: str = "",
 ) -> None:
     """Run a daemon from its command line until it is stopped.
@@ -107,18 +107,27 @@
 
     async def run() -> None:
         app = create(name, extensions)
-        app.configure(load(path, app.declared_settings))
-        check_parts(app)
-        handler = logs.configure(
-            app.settings["log.level"], program=name, vm=app.settings["vm.name"]
-        )
-        app.on_reload(lambda: _reload(app, path, load))
+        handler = logs.configure(_FIRST_LOG_LEVEL, program=name)
         log_writer = asyncio.create_task(logs.write_regularly(handler), name="logs")
+        reload_requested = asyncio.Event()
+        reloader = asyncio.create_task(
+            app.keep_running(
+                "reload", lambda: _reload_on_request(reload_requested, app, path, load)
+            )
+        )
         try:
+            app.configure(
+                await config.load_when_complete(load, path, app.declared_settings, clock=app.clock)
+            )
+            check_parts(app)
+            handler.setFormatter(logs.create_formatter(program=name, vm=app.settings["vm.name"]))
+            logging.getLogger().setLevel(app.settings["log.level"])
+            app.on_reload(reload_requested.set)
             await app.run()
         finally:
-            log_writer.cancel()
-            await asyncio.gather(log_writer, return_exceptions=True)
+            for task in (reloader, log_writer):
+                task.cancel()
+            await asyncio.gather(reloader, log_writer, return_exceptions=True)
             # When the event loop closes, it restores the default actions of its signals. These
             # would end the process, so a late SIGHUP or SIGTERM is ignored.
             for number in (signal.SIGHUP, signal.SIGTERM):
@@ -132,10 +141,22 @@
         sys.exit(EXIT_INVALID_SETTINGS)
 
 
-def _reload(app: application.Application, path: pathlib.Path, load: Load) -> None:
+async def _reload_on_request(
+    requested: asyncio.Event, app: application.Application, path: pathlib.Path, load: config.Load
+) -> None:
+    """Reload the settings file after each request, until cancelled."""
+    while True:
+        await requested.wait()
+        requested.clear()
+        await _reload(app, path, load)
+
+
+async def _reload(app: application.Application, path: pathlib.Path, load: config.Load) -> None:
     """Reload the settings file; only the log level changes without a restart."""
     try:
-        settings = load(path, app.declared_settings)
+        settings = await config.load_when_complete(
+            load, path, app.declared_settings, clock=app.clock
+        )
     except errors.SettingsError as error:
         logger.error("settings not reloaded", extra={"reason": str(error)})
         return
