Start also while a standard stream is closed

An entry VM that was started with its standard output closed ended with exit code 1: logs.configure asked sys.stdout, which is None then, for its descriptor. With standard error closed, the event loop got its descriptor, and what a library writes to that stream would go to the selector or to a socket.

A daemon now opens the null device in place of each closed stream before it opens anything else.

test_closed_standard_streams_do_not_end_the_process failed before in its three cases (exit code 1 twice, 'anon_inode:[eventpoll]' in place of standard error) and passes now.

--- a/src/greengageshunt/logs.py
+++ b/src/greengageshunt/logs.py
@@ -13,7 +13,6 @@
 import logging
 import os
 import select
-import sys
 import time
 from typing import Any
 
@@ -34,6 +33,9 @@
 # Largest write in bytes that does not block on a pipe that select() reports as writable.
 PIPE_CHUNK = select.PIPE_BUF
 
+# Descriptors of standard input, output and error.
+_STANDARD_STREAMS = (0, 1, 2)
+_STANDARD_OUTPUT = 1
 
 # Attributes of a log record; the logging module raises KeyError for extra fields of these names.
 _RECORD_ATTRIBUTES = frozenset(logging.makeLogRecord({}).__dict__) | {"message", "asctime"}
@@ -147,11 +149,25 @@
     )
 
 
+def open_closed_streams() -> None:
+    """Open the null device in place of each standard stream that is closed.
+
+    The first sockets would otherwise get the descriptors of these streams, and log lines would be
+    sent to a caller or a target.
+    """
+    for descriptor in _STANDARD_STREAMS:
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            # The system returns the lowest free descriptor, which is this one.
+            os.open(os.devnull, os.O_RDWR)
+
+
 def configure(level: str, **fields: str) -> BufferedHandler:
     """Write log records as JSON lines to standard output.
 
-    Stops the logging module from collecting the calling function, thread and process,
-    because no line shows them.
+    A process that was started without standard output writes its lines nowhere. Stops the logging
+    module from collecting the calling function, thread and process, because no line shows them.
 
     Args:
         level: Name of the lowest level to write, such as ``INFO``.
@@ -161,7 +177,7 @@
     logging.logThreads = False
     logging.logProcesses = False
     logging.logMultiprocessing = False
-    handler = BufferedHandler(descriptor=sys.stdout.fileno())
+    handler = BufferedHandler(descriptor=_STANDARD_OUTPUT)
     handler.setFormatter(create_formatter(**fields))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/src/greengageshunt/programs/common.py
+++ b/src/greengageshunt/programs/common.py
@@ -104,6 +104,7 @@
         help="settings file" + (f"; by default ${settings_variable}" if settings_variable else ""),
     )
     path = pathlib.Path(parser.parse_args().settings)
+    logs.open_closed_streams()
 
     async def run() -> None:
         app = create(name, extensions)
--- /dev/null
+++ b/tests/test_platform/test_process_ends.py
@@ -0,0 +1,57 @@
+"""Circumstances of a start under which an entry VM must not end by itself."""
+
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from support import entry_fleet
+
+# Seconds after which a process has started, on a busy machine too.
+START_LIMIT = 15.0
+
+
+@pytest.fixture
+def settings(tmp_path: pathlib.Path) -> pathlib.Path:
+    """Settings file of an entry VM without a store."""
+    vm = entry_fleet.EntryVm(
+        name="vm-1", host="127.89.1.2", folder=tmp_path, store_port=entry_fleet.free_port()
+    )
+    return vm.path
+
+
+def _listens(settings: pathlib.Path) -> bool:
+    """Return whether the readiness page of an entry VM answers."""
+    lines = settings.read_text(encoding="utf-8").splitlines()
+    address = dict(line.split("=", 1) for line in lines)["listen.ready"]
+    host, _, port = address.rpartition(":")
+    with socket.socket() as probe:
+        return probe.connect_ex((host, int(port))) == 0
+
+
+@pytest.mark.parametrize("closed", [(1,), (2,), (0, 1, 2)])
+def test_closed_standard_streams_do_not_end_the_process(settings, closed):
+    """Guards against a start that fails, or logs to a socket, as its output is closed."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "greengageshunt.programs.entry"],
+        env={**os.environ, "GREENGAGESHUNT_BOOT": str(settings)},
+        preexec_fn=lambda: [os.close(descriptor) for descriptor in closed],
+    )
+    try:
+        until = time.monotonic() + START_LIMIT
+        while not _listens(settings):
+            assert process.poll() is None, "the process has ended"
+            assert time.monotonic() < until
+            time.sleep(0.05)
+        streams = [os.readlink(f"/proc/{process.pid}/fd/{descriptor}") for descriptor in closed]
+        assert streams == [os.devnull] * len(closed)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(entry_fleet.GRACE) == 0
+    finally:
+        process.kill()
+        process.wait()
