--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -50,11 +50,12 @@
 async def stop_entry_vm(world: "world_module.World", rng: random.Random) -> None:
     """Shut a process down with SIGTERM, and restart it."""
     vm = rng.choice(world.fleet.vms)
-    process, handles_sigterm = vm.process, vm.handles_signals
+    process = vm.process
+    handles_sigterm = process.poll() is None and vm.loads_modules
     process.send_signal(signal.SIGTERM)
     code = await asyncio.to_thread(process.wait)
     # An overlapping fault may have killed the process, or restarted it so recently that
-    # SIGTERM ended it while the interpreter loaded (seed 124), before it accepted sessions.
+    # SIGTERM ended it before the program's first line (seed 124).
     allowed_codes = (
         (0, -signal.SIGKILL) if handles_sigterm else (0, -signal.SIGKILL, -signal.SIGTERM)
     )
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -87,6 +87,13 @@
     }
 
 
+def loads_modules(process_id: int) -> bool:
+    """Return whether a process loads the program's modules, past the interpreter's start."""
+    maps = pathlib.Path(f"/proc/{process_id}/maps").read_text(encoding="utf-8")
+    # The event loop's module is among the first that the program loads.
+    return "_asyncio" in maps
+
+
 class EntryVm:
     """One entry VM: its process, its settings file and its log."""
 
@@ -138,9 +145,7 @@
     @property
     def loads_modules(self) -> bool:
         """Whether the current process loads the program's modules, past the interpreter's start."""
-        maps = pathlib.Path(f"/proc/{self.process.pid}/maps").read_text(encoding="utf-8")
-        # The event loop's module is among the first that the program loads.
-        return "_asyncio" in maps
+        return loads_modules(self.process.pid)
 
     def lines(self, message: str = "") -> list[dict]:
         """Return the JSON log lines of all its processes; with ``message``, only those with it."""
--- a/tests/test_platform/test_process_ends.py
+++ b/tests/test_platform/test_process_ends.py
@@ -25,6 +25,24 @@
     return vm.path
 
 
+def test_planned_stop_while_modules_are_loaded_has_exit_code_0(settings):
+    """Guards against a planned stop during a start that looks like a crash."""
+    process = subprocess.Popen(
+        [sys.executable, "-m", "greengageshunt.programs.entry"],
+        env={**os.environ, "GREENGAGESHUNT_BOOT": str(settings)},
+    )
+    try:
+        until = time.monotonic() + START_LIMIT
+        while not entry_fleet.loads_modules(process.pid):
+            assert time.monotonic() < until
+            time.sleep(0.001)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(entry_fleet.GRACE) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
 def _listens(settings: pathlib.Path) -> bool:
     """Return whether the readiness page of an entry VM answers."""
     lines = settings.read_text(encoding="utf-8").splitlines()
