--- a/src/greengageshunt/programs/entry.py
+++ b/src/greengageshunt/programs/entry.py
@@ -1,15 +1,11 @@
 """Entry point of ``greengageshunt-entry``: everything that an entry VM of the platform runs."""
 
 import functools
-import os
-import signal
+
+from greengageshunt.programs import early_signals
 
 if __name__ == "__main__":
-    # The imports below take some tenths of a second, during which both signals would end the
-    # process. SIGHUP is ignored, because the settings are read after the imports. SIGTERM is a
-    # planned stop of a process that has nothing to finish yet, so the exit code is 0.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+    early_signals.install()
 
 from greengageshunt.platform import settings
 from greengageshunt.programs import common
--- a/tests/test_platform/test_process_ends.py
+++ b/tests/test_platform/test_process_ends.py
@@ -7,11 +7,14 @@
 import subprocess
 import sys
 import time
+import tomllib
 
 import pytest
 
 from support import entry_fleet
 
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
 # Seconds after which a process has started, on a busy machine too.
 START_LIMIT = 15.0
 
@@ -25,17 +28,36 @@
     return vm.path
 
 
-def test_planned_stop_while_modules_are_loaded_has_exit_code_0(settings):
-    """Guards against a planned stop during a start that looks like a crash."""
+def _deployed_command() -> list[str]:
+    """Return the command of the deploy file, with the interpreter of this environment."""
+    document = tomllib.loads((ROOT / "deploy" / "system.toml").read_text(encoding="utf-8"))
+    program, *arguments = document["roles"]["entry"]["run"].split()
+    assert program == "python3"
+    return [sys.executable, *arguments]
+
+
+@pytest.mark.parametrize(
+    "command", [[sys.executable, "-m", "greengageshunt.programs.entry"], _deployed_command()]
+)
+def test_signals_while_modules_are_loaded_do_not_end_the_process(settings, command):
+    """Guards against a reload, or a planned stop, during a start that looks like a crash."""
     process = subprocess.Popen(
-        [sys.executable, "-m", "greengageshunt.programs.entry"],
-        env={**os.environ, "GREENGAGESHUNT_BOOT": str(settings)},
+        command,
+        cwd=ROOT,
+        # The deploy file's command skips the environment's packages, and a test has no build.
+        env={
+            **os.environ,
+            "GREENGAGESHUNT_BOOT": str(settings),
+            "PYTHONPATH": os.pathsep.join(path for path in sys.path if path),
+        },
     )
     try:
         until = time.monotonic() + START_LIMIT
         while not entry_fleet.loads_modules(process.pid):
             assert time.monotonic() < until
             time.sleep(0.001)
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.02)
         process.send_signal(signal.SIGTERM)
         assert process.wait(entry_fleet.GRACE) == 0
     finally:
