Play planned work in series in the soak, and check that it cuts no statement

The soak did not check for statements that a planned stop cuts, and did not replace settings files beside starts. Faults other than these are drawn as before, so that earlier seeds play the same faults. A process that ended with another exit code than 0 or that of a signal of a fault is reported also if it is started again.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,6 +25,11 @@
     parser.add_argument(
         "--restores", action="store_true", help="also restore the store from older copies"
     )
+    parser.add_argument(
+        "--planned",
+        action="store_true",
+        help="only planned work: stops, reloads and changes of the settings and configuration",
+    )
     parser.add_argument("--logs", type=pathlib.Path, help="folder for the logs of each run")
     return parser
 
@@ -41,7 +46,11 @@
         logs = folder / str(seed)
         logs.mkdir(parents=True, exist_ok=True)
         played = world.World(
-            folder=logs, seed=seed, size=arguments.size, restores=arguments.restores
+            folder=logs,
+            seed=seed,
+            size=arguments.size,
+            restores=arguments.restores,
+            planned=arguments.planned,
         )
         report = asyncio.run(played.run(arguments.seconds))
         print(f"seed {seed}: {len(report.violations)} violations, {len(report.faults)} faults")
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -91,8 +91,12 @@
             values=tuple(sorted(self._values.items())),
         )
         self.waiting_since = time.monotonic()
-        async with asyncio.timeout(RESPONSE_TIMEOUT):
-            lines, state = await session.run(text, statement_id)
+        try:
+            async with asyncio.timeout(RESPONSE_TIMEOUT):
+                lines, state = await session.run(text, statement_id)
+        except (OSError, TimeoutError):
+            self._run_ledger.unanswered.add(statement_id)
+            raise
         self.waiting_since = None
         words = lines[-1].split(" ")
         code = words[1] if words[0] == "ERROR" else ""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,10 +18,18 @@
 Fault = abc.Callable[["world_module.World", random.Random], abc.Awaitable[None]]
 
 
-def _start(vm: entry_fleet.EntryVm) -> None:
+# Exit codes of processes that a fault ended.
+_ENDED_BY_A_FAULT = (0, -signal.SIGKILL, -signal.SIGTERM)
+
+
+def _start(world: "world_module.World", vm: entry_fleet.EntryVm) -> None:
     """Start a process, unless an overlapping fault has already restarted it."""
-    if vm.process.poll() is not None:
-        vm.start()
+    code = vm.process.poll()
+    if code is None:
+        return
+    if code not in _ENDED_BY_A_FAULT:
+        world.run_ledger.failures.append(f"EXIT: {vm.name} ended with {code}")
+    vm.start()
 
 
 async def _kill(vm: entry_fleet.EntryVm) -> None:
@@ -36,7 +44,7 @@
     vm = rng.choice(world.fleet.vms)
     await _kill(vm)
     await asyncio.sleep(rng.choice((0.0, 0.5, 3.0)))
-    _start(vm)
+    _start(world, vm)
 
 
 async def kill_all_entry_vms(world: "world_module.World", rng: random.Random) -> None:
@@ -44,12 +52,15 @@
     await asyncio.gather(*map(_kill, world.fleet.vms))
     await asyncio.sleep(rng.uniform(0, 1))
     for vm in world.fleet.vms:
-        _start(vm)
+        _start(world, vm)
 
 
 async def stop_entry_vm(world: "world_module.World", rng: random.Random) -> None:
     """Shut a process down with SIGTERM, and restart it."""
-    vm = rng.choice(world.fleet.vms)
+    await _stop_and_restart(world, rng.choice(world.fleet.vms))
+
+
+async def _stop_and_restart(world: "world_module.World", vm: entry_fleet.EntryVm) -> None:
     process = vm.process
     handles_sigterm = process.poll() is None and vm.loads_modules
     process.send_signal(signal.SIGTERM)
@@ -61,7 +72,31 @@
     )
     if code not in allowed_codes:
         world.run_ledger.failures.append(f"STOP: {vm.name} ended with {code}")
-    _start(vm)
+    _start(world, vm)
+
+
+async def stop_all_in_turn(world: "world_module.World", rng: random.Random) -> None:
+    """Shut all processes down one after the other, before the earlier ones serve again."""
+    pause = rng.uniform(0.3, 2.0)
+    stops = []
+    for vm in world.fleet.vms:
+        stops.append(asyncio.create_task(_stop_and_restart(world, vm)))
+        await asyncio.sleep(pause)
+    await asyncio.gather(*stops)
+
+
+async def replace_settings(world: "world_module.World", rng: random.Random) -> None:
+    """Write settings files again in two steps, and send SIGHUP; processes may start meanwhile."""
+    for vm in world.fleet.vms:
+        if vm.name in world.replaced_settings:
+            continue
+        world.replaced_settings.add(vm.name)
+        whole = vm.path.read_text(encoding="utf-8")
+        vm.path.write_text(whole[: rng.randrange(len(whole))], encoding="utf-8")
+        await asyncio.sleep(rng.uniform(0.0, 0.5))
+        vm.path.write_text(whole, encoding="utf-8")
+        world.replaced_settings.discard(vm.name)
+    await reload_entry_vms(world, rng)
 
 
 async def pause_entry_vm(world: "world_module.World", rng: random.Random) -> None:
@@ -223,6 +258,15 @@
         await asyncio.sleep(rng.choice((0.0, 0.1)))
 
 
+# Work that operators plan; no statement that a target runs may go without an answer.
+PLANNED: tuple[Fault, ...] = (
+    stop_entry_vm,
+    stop_all_in_turn,
+    reload_entry_vms,
+    replace_settings,
+    change_configuration,
+)
+
 ALL: tuple[Fault, ...] = (
     kill_entry_vm,
     kill_all_entry_vms,
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -80,6 +80,7 @@
         reads: Successful reads.
         failures: Violations that clients, faults and the final checks saw themselves.
         codes: Number of responses by error code, ``ok`` for successes.
+        unanswered: Ids of statements whose connection ended, or that timed out, without a response.
     """
 
     def __init__(self, *, rates: abc.Mapping[str, tuple[float, float]]) -> None:
@@ -90,6 +91,7 @@
         self.reads: list[SuccessfulRead] = []
         self.failures: list[str] = []
         self.codes: collections.Counter[str] = collections.Counter()
+        self.unanswered: set[str] = set()
 
     def violations(self, group: line_target.LineGroup, orders: abc.Iterable[tuple]) -> list[str]:
         """Return all violations, each with a label for its kind."""
@@ -102,6 +104,17 @@
             *_orders(orders),
         ]
 
+    def cut(self, group: line_target.LineGroup) -> abc.Iterator[str]:
+        """Yield a violation for each statement that a target ran and nobody answered.
+
+        Without unplanned faults there must be none.
+        """
+        for target in group.targets.values():
+            for run in target.runs:
+                if run.statement_id in self.unanswered:
+                    text = self.sent[run.statement_id].text
+                    yield f"LOST: {text} ran at {run.at:.3f}, and its connection ended"
+
     def _writes(
         self, log_counts: collections.Counter[str], group: line_target.LineGroup
     ) -> abc.Iterator[str]:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -45,20 +45,29 @@
     """The fleet, clients and relays of one run, on which faults act.
 
     ``faulty_targets`` holds the names of targets on which a crash, partition or drain is in
-    progress. Other faults of these kinds skip them. With ``restores``, the store is also restored
-    from older copies during the run.
+    progress. Other faults of these kinds skip them. ``replaced_settings`` holds the names of entry
+    VMs whose settings file is being written. With ``restores``, the store is also restored from
+    older copies during the run. With ``planned``, all faults are planned work, and each statement
+    that a target runs must be answered.
     """
 
     def __init__(
-        self, *, folder: pathlib.Path, seed: int, size: int, restores: bool = False
+        self,
+        *,
+        folder: pathlib.Path,
+        seed: int,
+        size: int,
+        restores: bool = False,
+        planned: bool = False,
     ) -> None:
         self._folder, self._size, self._seed = folder, size, seed
-        self._restores = restores
+        self._restores, self._planned = restores, planned
         self._rng = random.Random(seed)
         self._version = 0
         self._started: list[tuple[float, str]] = []
         self.run_ledger = ledger.Ledger(rates=dict.fromkeys(ACCOUNTS, (RATE, RATE)))
         self.faulty_targets: set[str] = set()
+        self.replaced_settings: set[str] = set()
         self.store_relays: list[relay_module.Relay] = []
         self.target_relays: dict[str, relay_module.Relay] = {}
         self.fleet: entry_fleet.Fleet
@@ -88,6 +97,8 @@
             await asyncio.sleep(REPLICATION_WAIT)
             self._check_processes()
             violations = self.run_ledger.violations(self.fleet.group, self.store.orders)
+            if self._planned:
+                violations.extend(self.run_ledger.cut(self.fleet.group))
             return Report(
                 seed=self._seed,
                 faults=tuple(self._started),
@@ -139,7 +150,7 @@
         running: set[asyncio.Task[None]] = set()
         while time.monotonic() - began_at < seconds:
             await asyncio.sleep(self._rng.expovariate(1 / MEAN_FAULT_INTERVAL))
-            fault = self._rng.choice(faults.ALL)
+            fault = self._rng.choice(faults.PLANNED if self._planned else faults.ALL)
             self._started.append((round(time.monotonic() - began_at, 2), fault.__name__))
             running.add(asyncio.create_task(fault(self, random.Random(self._rng.random()))))
         await asyncio.gather(*running)
--- a/tests/test_soak/test_soak.py
+++ b/tests/test_soak/test_soak.py
@@ -38,6 +38,15 @@
     assert report.codes["ok"] > 100
 
 
+@pytest.mark.parametrize("seed", [401, 402])
+async def test_planned_work_cuts_no_statement(seed, tmp_path):
+    """Guards against stops, reloads and changes in series that cut what a target runs."""
+    played = world.World(folder=tmp_path, seed=seed, size=4, planned=True)
+    report = await played.run(SECONDS)
+    assert not report.violations, report
+    assert report.codes["ok"] > 100
+
+
 def test_listeners_use_ports_that_outgoing_connections_do_not():
     """Guards against an outgoing connection that takes a listener's port before it is bound."""
     text = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text(encoding="ascii")
