Count the time of a removed row from its present mark

Cause: the time of the first mark was kept while the entry VM was registered. It now belongs to the version of the row that carries the mark.

--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -22,6 +22,9 @@
 # the leases of the unresponsive process to expire.
 REMOVE_AFTER = 8.0
 
+# Seconds from the mark of a row until it is deleted; by then every lease of its process has ended.
+ROW_KEPT_SECONDS = lease.LEASE_SECONDS + lease.CLOCK_DRIFT_MARGIN_SECONDS
+
 # Seconds for the writes that mark this entry VM as stopped during its shutdown.
 STOP_TIMEOUT = 0.5
 
@@ -41,7 +44,8 @@
         self._peer_server = app.part("peers", "server")
         self._responsible_since: dict[str, float] = {}
         self._last_heard_at: dict[str, float] = {}
-        self._marked_at: dict[str, float] = {}
+        # Position of the row that marks an entry VM, and when this process first saw it.
+        self._marked_at: dict[str, tuple[tuple[int, int], float]] = {}
         self._row_written = asyncio.Event()
         self._started_at = app.clock()
         me: model.Member = self._members.me
@@ -184,8 +188,7 @@
                 self._marked_at.pop(vm, None)
                 self._responsible_since.pop(vm, None)
             elif entry.removed:
-                since = self._marked_at.setdefault(vm, now)
-                if now - since > lease.LEASE_SECONDS + lease.CLOCK_DRIFT_MARGIN_SECONDS:
+                if now - self._marked_since(vm, now) > ROW_KEPT_SECONDS:
                     await self._delete_row(vm)
             elif self._is_unresponsive(vm, now):
                 await self._mark_removed(entry)
@@ -208,6 +211,19 @@
             local = []
         return ownership.rank("members", local or live)[0].vm == self._me.vm
 
+    def _marked_since(self, vm: str, now: float) -> float:
+        """Return when this process first saw the present mark of an entry VM.
+
+        A process that registered after an earlier mark has leases of its own, so that a later mark
+        counts anew.
+        """
+        row = self._view.row(view.MEMBER_PREFIX + vm)
+        position = row.position if row is not None else (0, 0)
+        known = self._marked_at.get(vm)
+        if known is None or known[0] != position:
+            known = self._marked_at[vm] = (position, now)
+        return known[1]
+
     def _is_unresponsive(self, vm: str, now: float) -> bool:
         # Silence before this entry VM became responsible for the other one doesn't count.
         since = self._responsible_since.setdefault(vm, now)
--- a/tests/test_coordination/test_members.py
+++ b/tests/test_coordination/test_members.py
@@ -191,3 +191,41 @@
     assert fleet.registry.registered
     fleet.peer_server.listening = False
     assert not fleet.registry.registered
+
+
+async def test_row_that_is_marked_again_stays_until_the_leases_of_its_process_end():
+    """Guards against a second mark that counts from the first one.
+
+    The row would be deleted at once, and a change of primary would not wait for the lease of the
+    process that registered in between.
+    """
+    hubs = _hubs()
+    plain = next(m for m in MEMBERS if m.failure_domain == "b" and m not in hubs["b"])
+    deleted: list[str] = []
+    marked_at: dict[str, float] = {}
+    for hub in hubs["b"]:
+        fleet = _Fleet(hub)
+        key = f"members/{plain.vm}"
+
+        async def delete_row(key, etag, fleet=fleet):
+            deleted.append(key)
+            assert fleet.now - marked_at[key] > members.ROW_KEPT_SECONDS
+
+        fleet.store.delete_row = delete_row
+        entry = records.MemberEntry(
+            vm=plain.vm,
+            failure_domain=plain.failure_domain,
+            peer_address=plain.peer_address,
+            incarnation="x",
+        )
+        for version, removed in ((1000, True), (1001, False), (1002, True)):
+            row = records.ControlRow(
+                key=key,
+                version=version,
+                value=codec.to_json(dataclasses.replace(entry, removed=removed)),
+            )
+            fleet.view.apply_row(row)
+            marked_at[key] = fleet.now
+            await fleet.pass_time(4.0, set())
+        await fleet.pass_time(4.0, set())
+    assert deleted == [f"members/{plain.vm}"]
