--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -107,7 +107,6 @@
         self.path = folder / f"{name}.conf"
         self.log = folder / f"{name}.log"
         self.process: subprocess.Popen | None = None
-        self._log_start = 0
         fields = {
             "node-name": name,
             "zone": zone,
@@ -123,7 +122,6 @@
 
     def start(self) -> None:
         """Start the process."""
-        self._log_start = self.log.stat().st_size if self.log.exists() else 0
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "greengageshunt.programs.entry"],
@@ -137,11 +135,6 @@
         assert self.process is not None
         self.process.send_signal(number)
 
-    @property
-    def handles_signals(self) -> bool:
-        """Whether the current process has logged its start, after which it handles signals."""
-        return b'"starting"' in self.log.read_bytes()[self._log_start :]
-
     @property
     def loads_modules(self) -> bool:
         """Whether the current process loads the program's modules, past the interpreter's start."""
