Log and count answers that may belong to another statement

A target that repeats an answer shifts all later answers of its connection, and neither logs nor metrics show it. Each connection now keeps the signatures and errors that it has received; an answer that came before is logged as unexpected-answer and counted by target. What is done with the answer does not change yet, except that a READY with an unknown state breaks the connection.

--- a/src/greengageshunt/errors.py
+++ b/src/greengageshunt/errors.py
@@ -106,6 +106,10 @@
         self.code = code
 
 
+class UncertainAnswerError(TargetError):
+    """A target answered, but its answer may belong to another statement."""
+
+
 class PeerError(GreengageshuntError):
     """A peer link failed before the response arrived.
 
--- a/src/greengageshunt/metrics/entry.py
+++ b/src/greengageshunt/metrics/entry.py
@@ -8,7 +8,7 @@
 from greengageshunt import application, config
 from greengageshunt.frontends import pages
 from greengageshunt.metrics import latency
-from greengageshunt.pooling import reports
+from greengageshunt.pooling import answers, reports
 
 # Module that renders the page. It is imported at the first request, since its library takes
 # 0.06 s to load and 3 MB of memory. An entry VM whose page is never requested saves both.
@@ -29,6 +29,7 @@
         self._store_calls: collections.Counter[tuple[str, ...]] = collections.Counter()
         self._unreadable_values: collections.Counter[tuple[str, ...]] = collections.Counter()
         self._task_failures: collections.Counter[tuple[str, ...]] = collections.Counter()
+        self._unexpected_answers: collections.Counter[tuple[str, ...]] = collections.Counter()
         self._statement_latency = latency.LatencySummary(
             name=f"{latency.PREFIX}_statement_seconds",
             doc="Seconds from the receipt of a statement to its answer.",
@@ -44,6 +45,7 @@
         app.events.connect("store-called", self._count_store_call)
         app.events.connect("value-unreadable", self._count_unreadable_value)
         app.events.connect("task-failed", self._count_task_failure)
+        app.events.connect("answer-unexpected", self._count_unexpected_answer)
 
     @property
     def statements(self) -> Counts:
@@ -70,6 +72,11 @@
         """Number of failures of tasks that ran again, by task."""
         return self._task_failures
 
+    @property
+    def unexpected_answers(self) -> Counts:
+        """Number of answers of targets that no statement awaited, by target and origin."""
+        return self._unexpected_answers
+
     @property
     def latencies(self) -> tuple[latency.LatencySummary, ...]:
         """Latencies of statements, and of the event loop's timers."""
@@ -99,6 +106,9 @@
     def _count_task_failure(self, task: str) -> None:
         self._task_failures[(task,)] += 1
 
+    def _count_unexpected_answer(self, answer: answers.UnexpectedAnswer) -> None:
+        self._unexpected_answers[(answer.target, answer.origin.value)] += 1
+
 
 class EntryMetrics:
     """Serves ``GET /metrics`` and samples the lag of the event loop."""
--- a/src/greengageshunt/metrics/entry_page.py
+++ b/src/greengageshunt/metrics/entry_page.py
@@ -54,6 +54,12 @@
             ("task",),
             self._counts.task_failures,
         )
+        yield families.counter(
+            "unexpected_answers",
+            "Answers of targets that no statement awaited.",
+            ("target", "origin"),
+            self._counts.unexpected_answers,
+        )
         yield families.counter(
             "event_handler_failures",
             "Failures of event handlers.",
--- a/src/greengageshunt/platform/targets.py
+++ b/src/greengageshunt/platform/targets.py
@@ -2,17 +2,26 @@
 
 import asyncio
 import dataclasses
+import logging
 import socket
 from collections import abc
 
-from greengageshunt import application, errors, model
+from greengageshunt import application, errors, logs, model
 from greengageshunt.coordination import records
 from greengageshunt.platform import wire
-from greengageshunt.pooling import statements
+from greengageshunt.pooling import answers, statements
+
+logger = logging.getLogger(__name__)
 
 # Id of statements that this system sends on its own behalf.
 _INTERNAL_STATEMENT_ID = "-"
 
+_NO_TRANSACTION = statements.TransactionState.NONE
+_OPEN_TRANSACTION = statements.TransactionState.OPEN
+
+# Statements that a target answers with a signature.
+_SIGNED_STATEMENTS = frozenset({"READ", "WRITE", "EXECUTE", "COMMIT"})
+
 # Milliseconds after which the kernel closes a connection whose sent data is not acknowledged.
 TCP_USER_TIMEOUT_MS = 3000
 
@@ -42,6 +51,7 @@
         account: str,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        report: abc.Callable[[answers.UnexpectedAnswer], None],
     ) -> None:
         self._entry = entry
         self._account = account
@@ -52,6 +62,8 @@
         self.position: model.Position | None = None
         self.used_at = 0.0
         self._idle = True
+        self._report = report
+        self._history = answers.AnswerHistory()
 
     @property
     def entry(self) -> records.TargetEntry:
@@ -97,7 +109,7 @@
         try:
             async with asyncio.timeout(timeout):
                 self._writer.write(wire.encode_query(statement_id, text, after))
-                return await self._read_answer()
+                return await self._read_answer(text)
         except TimeoutError as error:
             self.abort()
             raise self._error(f"no answer in {timeout:.3f} s", step, code="TIMEOUT") from error
@@ -146,14 +158,14 @@
                 self._writer.write(
                     b"".join(wire.encode_query(_INTERNAL_STATEMENT_ID, text) for text in commands)
                 )
-                answers = [await self._read_answer() for _ in commands]
+                received = [await self._read_answer(text) for text in commands]
         except (OSError, EOFError, ValueError, wire.WireError, TimeoutError) as error:
             self.abort()
             raise self._error(str(error) or type(error).__name__, "set up") from error
         except asyncio.CancelledError:
             self.abort()
             raise
-        rejected = [answer for answer in answers if answer.code]
+        rejected = [answer for answer in received if answer.code]
         if rejected:
             self.abort()
             raise self._error(f"{rejected[0].code} {rejected[0].message}", "set up")
@@ -196,7 +208,44 @@
         """Close the connection once all written data has been sent."""
         self._writer.close()
 
-    async def _read_answer(self) -> statements.TargetAnswer:
+    def _awaited(self, text: str) -> answers.Awaited:
+        """Return what the success of a statement looks like."""
+        word = text.partition(" ")[0]
+        state = _NO_TRANSACTION if self._idle else _OPEN_TRANSACTION
+        if word in _SIGNED_STATEMENTS:
+            after = _NO_TRANSACTION if word == "COMMIT" else state
+            return answers.Awaited(kind=answers.Kind.SIGNED, state=after)
+        if word == "BEGIN":
+            return answers.Awaited(kind=answers.Kind.BEGIN, state=_OPEN_TRANSACTION)
+        if word in ("STATUS", "STEPDOWN"):
+            return answers.Awaited(kind=answers.Kind.STATUS, state=state)
+        return answers.Awaited(
+            kind=answers.Kind.SETUP, state=_NO_TRANSACTION if word == "ROLLBACK" else state
+        )
+
+    def _check_origin(
+        self, text: str, awaited: answers.Awaited, answer: statements.TargetAnswer
+    ) -> None:
+        """Log and count an answer that may not belong to the statement."""
+        origin = self._history.judge(awaited, answer)
+        if origin is answers.Origin.OWN:
+            return
+        logs.log_decision(
+            logger,
+            "unexpected-answer",
+            level=logging.WARNING,
+            target=self._entry.target,
+            account=self._account,
+            statement=text.partition(" ")[0],
+            origin=origin.value,
+            code=answer.code,
+            signature=answer.signature,
+            answers=self._history.size,
+        )
+        self._report(answers.UnexpectedAnswer(target=self._entry.target, origin=origin))
+
+    async def _read_answer(self, text: str) -> statements.TargetAnswer:
+        awaited = self._awaited(text)
         rows: list[bytes] = []
         self._idle = False
         signature, code, message = "", "", ""
@@ -218,13 +267,16 @@
                     self.position = position
                 if not signature and not code:
                     raise wire.WireError("answer without COMPLETE or ERROR")
-                return statements.TargetAnswer(
+                answer = statements.TargetAnswer(
                     rows=tuple(rows),
                     signature=signature,
                     code=code,
                     message=message,
+                    state=wire.decode_state(state),
                     position=position,
                 )
+                self._check_origin(text, awaited, answer)
+                return answer
             else:
                 raise wire.WireError(f"unexpected message {word[:20]!r}")
 
@@ -254,6 +306,9 @@
 class LineDriver:
     """Opens connections to targets."""
 
+    def __init__(self, *, app: application.Application) -> None:
+        self._app = app
+
     async def connect(
         self, entry: records.TargetEntry, account: str, timeout: float
     ) -> LineConnection:
@@ -274,7 +329,11 @@
                     socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
                 )
                 connection = LineConnection(
-                    entry=entry, account=account, reader=reader, writer=writer
+                    entry=entry,
+                    account=account,
+                    reader=reader,
+                    writer=writer,
+                    report=lambda answer: self._app.events.emit("answer-unexpected", answer),
                 )
                 await connection.start()
                 return connection
@@ -293,4 +352,5 @@
 
 def setup(app: application.Application) -> None:
     """Register the driver."""
-    app.add_part("driver", "lines", lambda app: LineDriver())
+    app.add_event("answer-unexpected")
+    app.add_part("driver", "lines", lambda app: LineDriver(app=app))
--- a/src/greengageshunt/platform/wire.py
+++ b/src/greengageshunt/platform/wire.py
@@ -12,6 +12,8 @@
     statements.TransactionState.FAILED: "E",
 }
 
+_STATES_BY_LETTER = {letter: state for state, letter in _STATES.items()}
+
 # Statements that have no fields.
 _STATEMENTS_WITHOUT_FIELDS = {
     "BEGIN": statements.Kind.BEGIN,
@@ -111,6 +113,18 @@
     return f"READY {_STATES[state]} -\r\n".encode()
 
 
+def decode_state(letter: str) -> statements.TransactionState:
+    """Return the state of the transaction that a target's ``READY`` names.
+
+    Raises:
+        WireError: It names none.
+    """
+    state = _STATES_BY_LETTER.get(letter)
+    if state is None:
+        raise WireError(f"READY with an unknown state {letter[:20]!r}")
+    return state
+
+
 def encode_error(code: str, message: str) -> bytes:
     """Return an ``ERROR`` line for a caller; line breaks in the message become spaces."""
     text = message.replace("\r", " ").replace("\n", " ")
--- a/src/greengageshunt/pooling/statements.py
+++ b/src/greengageshunt/pooling/statements.py
@@ -71,6 +71,9 @@
     TIMEOUT = "TIMEOUT"
 
 
+# Signature in the answer to a statement that needs none, such as ``SET``.
+NO_SIGNATURE = "-"
+
 # Codes with which a target shows that it did not run the statement.
 NOT_RUN = frozenset(
     {
@@ -90,9 +93,11 @@
 
     Attributes:
         rows: Rows as the target sent them, not decoded.
-        signature: Proof that the target ran the statement; empty after an error.
+        signature: Proof that the target ran the statement, ``-`` for a statement without one, or
+            empty after an error.
         code: Code of an error, or an empty string.
         message: Text of an error.
+        state: State of the connection's transaction after the statement.
         position: Log position of the target, or None if it sent none.
     """
 
@@ -100,8 +105,14 @@
     signature: str
     code: str
     message: str
+    state: TransactionState
     position: model.Position | None
 
+    @property
+    def signed(self) -> bool:
+        """Whether the answer proves that the target ran a read, a write or a commit."""
+        return self.signature not in ("", NO_SIGNATURE)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class CallerAnswer:
@@ -115,6 +126,6 @@
     """
 
     rows: tuple[bytes, ...] = ()
-    signature: str = "-"
+    signature: str = NO_SIGNATURE
     refusal: errors.Refusal | None = None
     state: TransactionState = TransactionState.NONE
