Reproduce texts that arrive changed and answers of other statements

Callers got another statement's answer (MIXED), their statements ran with other session values, shapes or texts than they had sent (PINNED, UNASKED), and writes that ran were refused with a promise (REFUSED).

The stand-in of targets and the callers of the tests ended a line at LF and stripped its ends, as the entry VM does, so no test could see the first fault. They now end a line at CR LF only and keep all other bytes. Targets can repeat whole answers, at once or later, and refuse statements; they reject statements of a failed transaction, and record the shape and the transaction of each run. The soak's ledger compares both, and the answer to each statement, with what the client sent.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -36,7 +36,7 @@
         self._item = ""
         self._new_item()
         self._values: dict[str, str] = {}
-        self._prepared: set[str] = set()
+        self._prepared: dict[str, str] = {}
         self._sessions = 0
         self.vm = ""
         self.waiting_since: float | None = None
@@ -57,8 +57,8 @@
             except (OSError, TimeoutError, AssertionError):
                 await asyncio.sleep(0.1)
                 continue
-            self.vm, self._values, self._prepared = vm.name, {}, set()
-            self._sessions += 1
+            self.vm = vm.name
+            self.begin_session()
             try:
                 while True:
                     await self._operate(session, database)
@@ -68,6 +68,11 @@
             finally:
                 session.close()
 
+    def begin_session(self) -> None:
+        """Forget the values and prepared statements of the last session."""
+        self._values, self._prepared = {}, {}
+        self._sessions += 1
+
     async def _operate(self, session: entry_fleet.Caller, database: str) -> None:
         draw = self._rng.random()
         if draw < 0.1:
@@ -79,16 +84,18 @@
         else:
             await self._read(session, database, "", time.monotonic())
 
-    async def _send(
+    async def send(
         self, session: entry_fleet.Caller, text: str, operation: str = ""
     ) -> tuple[list[str], str, str]:
         """Run a statement; return response lines, transaction state, and error code or ``""``."""
         statement_id = session.next_id()
+        word, name, *rest = f"{text} ".split(" ", 2)
         self._run_ledger.sent[statement_id] = ledger.SentStatement(
             text=text,
             operation=operation or statement_id,
             account=self._account,
             values=tuple(sorted(self._values.items())),
+            shape=self._prepared.get(name, "") if word == "EXECUTE" else "",
         )
         self.waiting_since = time.monotonic()
         try:
@@ -101,24 +108,34 @@
         words = lines[-1].split(" ")
         code = words[1] if words[0] == "ERROR" else ""
         self._run_ledger.codes[code or "ok"] += 1
-        has_signature = text.split(" ")[0] in ("READ", "WRITE", "EXECUTE", "COMMIT")
-        if not code and has_signature and not words[1].endswith(f".{statement_id}"):
+        if not code:
+            self._check_success(statement_id, lines)
+        if not code and word in ("SET", "PREPARE"):
+            state_of = self._values if word == "SET" else self._prepared
+            state_of[name] = rest[0][:-1]
+        return lines, state, code
+
+    def _check_success(self, statement_id: str, lines: list[str]) -> None:
+        """Record a violation unless a success has the signature and the rows of its statement."""
+        sent = self._run_ledger.sent[statement_id]
+        word = (sent.shape or sent.text).split(" ")[0]
+        signed = word in ("READ", "WRITE", "COMMIT")
+        _, _, signature = lines[-1].partition(" ")
+        own = signature.endswith(f".{statement_id}") if signed else signature == "-"
+        if not own or len(lines) != 1 + (word == "READ"):
             self._run_ledger.failures.append(
-                f"MIXED: {text} got the response of another statement: {lines}"
+                f"MIXED: {sent.text} got the response of another statement: {lines}"
             )
-        return lines, state, code
 
     async def _set_up(self, session: entry_fleet.Caller) -> None:
         place = self._rng.choice(PLACES)
-        _, _, code = await self._send(session, f"SET place {place}")
+        _, _, code = await self.send(session, f"SET place {place}")
         if code:
             raise ConnectionError(code)
-        self._values["place"] = place
         name = f"s{self._rng.randrange(3)}"
-        _, _, code = await self._send(session, f"PREPARE {name} WRITE q2")
+        _, _, code = await self.send(session, f"PREPARE {name} WRITE q{self._rng.randrange(4)}")
         if code:
             raise ConnectionError(code)
-        self._prepared.add(name)
 
     def _next_value(self) -> str:
         self._number += 1
@@ -132,13 +149,13 @@
     async def _write(self, session: entry_fleet.Caller) -> None:
         value = self._next_value()
         try:
-            _, _, code = await self._send(session, self._write_text(value))
+            _, _, code = await self.send(session, self._write_text(value))
         except (OSError, TimeoutError):
             self._new_item()
             raise
-        self._conclude([value], code)
+        self.conclude([value], code)
 
-    def _conclude(self, values: abc.Iterable[str], code: str) -> None:
+    def conclude(self, values: abc.Iterable[str], code: str) -> None:
         """Record writes as acknowledged or as without effect, by the code of the last response."""
         if code and code not in ledger.NO_EFFECT_CODES:
             self._new_item()
@@ -160,7 +177,7 @@
         self, session: entry_fleet.Caller, database: str, operation: str, began_at: float
     ) -> str:
         item = self._rng.choice([self._item, self._rng.choice(self._items)])
-        lines, _, code = await self._send(session, f"READ {item}", operation)
+        lines, _, code = await self.send(session, f"READ {item}", operation)
         if not code:
             number = lines[0].rpartition("-")[2]
             self._run_ledger.reads.append(
@@ -179,7 +196,7 @@
         operation = f"{self._name}:{began_at}"
         values: list[str] = []
         try:
-            _, _, code = await self._send(session, "BEGIN", operation)
+            _, _, code = await self.send(session, "BEGIN", operation)
             if code:
                 return
             for _ in range(self._rng.randrange(1, 4)):
@@ -188,16 +205,16 @@
                 if self._rng.random() < 0.5:
                     values.append(self._next_value())
                     text = self._write_text(values[-1])
-                    _, _, code = await self._send(session, text, operation)
+                    _, _, code = await self.send(session, text, operation)
                 elif not values:
                     code = await self._read(session, database, operation, began_at)
                 await asyncio.sleep(self._rng.uniform(0, 0.05))
             word = "ROLLBACK" if code or self._rng.random() < 0.2 else "COMMIT"
-            _, _, ended = await self._send(session, word, operation)
+            _, _, ended = await self.send(session, word, operation)
         except (OSError, TimeoutError):
             self._new_item()
             raise
         if word == "ROLLBACK":
-            self._conclude(values, "ABORTED")
+            self.conclude(values, "ABORTED")
         else:
-            self._conclude(values, ended)
+            self.conclude(values, ended)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -32,12 +32,14 @@
         operation: Id that all statements of a transaction share; else the statement's own id.
         account: Client account of the session's API key.
         values: Session values that were acknowledged before the statement was sent.
+        shape: Shape of the prepared statement that it executes, or an empty string.
     """
 
     text: str
     operation: str
     account: str
     values: tuple[tuple[str, str], ...]
+    shape: str
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -143,19 +145,28 @@
 
     def _runs(self, group: line_target.LineGroup) -> abc.Iterator[str]:
         runs = [
-            run
+            (target.name, run)
             for target in group.targets.values()
             for run in target.runs
             if run.statement_id != PROBE_STATEMENT_ID
         ]
         operations: dict[str, dict[str, float]] = collections.defaultdict(dict)
-        for run in sorted(runs, key=lambda run: run.at):
+        transactions: dict[object, object] = {}
+        for target, run in sorted(runs, key=lambda item: item[1].at):
             sent = self.sent.get(run.statement_id)
             if sent is None or _arguments(sent.text) != _arguments(run.text):
                 yield f"UNASKED: no client sent this statement: {run}"
                 continue
-            if (sent.account, sent.values) != (run.account, run.values):
-                yield f"PINNED: {run} differs in account or session values from {sent}"
+            if (sent.account, sent.values, sent.shape) != (run.account, run.values, run.shape):
+                yield f"PINNED: {run} differs in account, session values or shape from {sent}"
+            if (run.transaction is None) != (sent.operation == run.statement_id):
+                yield f"PINNED: {run} ran outside of its transaction, or inside of one: {sent}"
+            if run.transaction is not None:
+                place = (target, run.connection, run.transaction)
+                pair = (transactions.setdefault(sent.operation, place), place)
+                pair_back = (transactions.setdefault(place, sent.operation), sent.operation)
+                if pair[0] != pair[1] or pair_back[0] != pair_back[1]:
+                    yield f"PINNED: {run} ran in another transaction than {sent.operation}"
             operations[run.account].setdefault(sent.operation, run.at)
         for account, started in operations.items():
             rate, burst = self._rates[account]
--- a/tests/support/entry_fleet.py
+++ b/tests/support/entry_fleet.py
@@ -290,9 +290,11 @@
         Raises:
             AssertionError: The entry VM rejected the session; the text is its response.
         """
-        reader, writer = await asyncio.open_connection(vm.host, vm.front)
-        writer.write(f"STARTUP {database} {key}\r\n".encode())
-        line = (await reader.readline()).decode().strip()
+        reader, writer = await asyncio.open_connection(
+            vm.host, vm.front, limit=line_target.LINE_LIMIT
+        )
+        writer.write(line_target.encode(f"STARTUP {database} {key}\r\n"))
+        line = await line_target.read_line(reader)
         assert line == "READY I -", line
         return cls(reader=reader, writer=writer)
 
@@ -302,19 +304,24 @@
 
     async def read_line(self) -> str:
         """Return the next line that arrives, or an empty one at the end of the connection."""
-        return (await self._reader.readline()).decode().strip()
+        return await line_target.read_line(self._reader) or ""
+
+    def send(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        self._writer.write(data)
 
     async def run(self, text: str, statement_id: str = "") -> tuple[list[str], str]:
         """Run a statement; return its response lines, and the transaction state after it."""
-        self._writer.write(f"QUERY {statement_id or self.next_id()} {text}\r\n".encode())
+        message = f"QUERY {statement_id or self.next_id()} {text}\r\n"
+        self._writer.write(line_target.encode(message))
         lines = []
         while True:
-            line = (await self._reader.readline()).decode()
-            if not line:
-                raise ConnectionResetError(f"entry VM closed the connection during {text}")
-            if line.startswith("READY"):
-                return lines, line.split()[1]
-            lines.append(line.strip())
+            line = await line_target.read_line(self._reader)
+            if line is None:
+                raise ConnectionResetError(f"entry VM closed the connection during {text[:80]}")
+            if line.startswith("READY "):
+                return lines, line.split(" ")[1]
+            lines.append(line)
 
     def close(self) -> None:
         """Close the connection without ending the session first."""
--- a/tests/support/line_target.py
+++ b/tests/support/line_target.py
@@ -3,14 +3,38 @@
 import asyncio
 import contextlib
 import dataclasses
+import random
 import time
 
 REPLICATION_LAG = 0.02  # seconds from a commit to the copy of the log on the replicas
 
+LINE_LIMIT = 2**20  # bytes of a line without its end
+
+# Statements that ``refuse_share`` applies to.
+_REFUSABLE_WORDS = ("SET", "PREPARE", "RESET", "BEGIN", "READ", "WRITE", "EXECUTE")
+
+
+def encode(text: str) -> bytes:
+    """Return the bytes of a text; surrogate escapes stand for bytes that are not UTF-8."""
+    return text.encode("utf-8", "surrogateescape")
+
+
+async def read_line(reader: asyncio.StreamReader) -> str | None:
+    """Return the next line without its CR LF, or None at the end of the connection."""
+    try:
+        line = await reader.readuntil(b"\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    return line[:-2].decode("utf-8", "surrogateescape")
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Run:
-    """One statement that a target ran, at ``at`` monotonic seconds on a numbered connection."""
+    """One statement that a target ran, at ``at`` monotonic seconds on a numbered connection.
+
+    ``shape`` is the prepared shape that an ``EXECUTE`` ran, else empty. ``transaction`` is the
+    number of the transaction that was open on the connection, or None.
+    """
 
     statement_id: str
     account: str
@@ -18,6 +42,8 @@
     values: tuple[tuple[str, str], ...]
     connection: int
     at: float
+    shape: str
+    transaction: int | None
 
 
 class LineTarget:
@@ -27,6 +53,12 @@
     ``lose_answers`` statements take effect, but the target drops their response and aborts the
     connection; with ``loses_silently`` it leaves the connection open. While
     ``replication_paused``, a replica receives no log entries.
+
+    ``repeat_share`` of all answers are sent a second time, whole, after ``repeat_delay`` seconds,
+    a range; 0 is directly behind the first. ``refuse_share`` of the statements are answered with
+    ``BUSY`` and do not run. ``seed`` decides which ones; ``repeat_words`` and ``refuse_words``
+    restrict both to statements with these first words, in which ``READY`` stands for the answer
+    to STARTUP. ``error_text`` is the text of each error.
     """
 
     def __init__(self, *, group: "LineGroup", name: str) -> None:
@@ -41,7 +73,16 @@
         self.loses_silently = False
         self.replication_paused = False
         self.partitioned = False
+        self.repeat_share = 0.0
+        self.repeat_delay = (0.0, 0.0)
+        self.repeat_words: tuple[str, ...] = ()
+        self.refuse_share = 0.0
+        self.refuse_words: tuple[str, ...] = _REFUSABLE_WORDS
+        self.error_text = name
+        self.repeated = 0
+        self.refused = 0
         self.port = 0
+        self._rng = random.Random(name)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._connections = 0
@@ -60,6 +101,31 @@
         self.partitioned = False
         self.group.copy()
 
+    def seed(self, seed: int | str) -> None:
+        """Seed the choice of the answers that are repeated and of the statements refused."""
+        self._rng = random.Random(f"{seed} {self.name}")
+
+    def refuses(self, word: str) -> bool:
+        """Return whether a statement is answered with ``BUSY``, without a run."""
+        refused = word in self.refuse_words and self._rng.random() < self.refuse_share
+        self.refused += refused
+        return refused
+
+    def send(self, writer: asyncio.StreamWriter, word: str, answer: str) -> None:
+        """Send the answer to a statement, and at times send it again."""
+        data = encode(answer)
+        writer.write(data)
+        if self.repeat_words and word not in self.repeat_words:
+            return
+        if self._rng.random() >= self.repeat_share:
+            return
+        self.repeated += 1
+        delay = self._rng.uniform(*self.repeat_delay)
+        if delay:
+            asyncio.get_running_loop().call_later(delay, _send_again, writer, data)
+        else:
+            writer.write(data)
+
     @property
     def position(self) -> str:
         """Position of the last log entry, as ``TERM.LENGTH``."""
@@ -68,7 +134,7 @@
     async def start(self, port: int) -> None:
         """Serve on a loopback port."""
         self.port = port
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", port, limit=LINE_LIMIT)
 
     async def stop(self) -> None:
         """Crash: close the port and all connections."""
@@ -81,41 +147,50 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
         try:
-            with contextlib.suppress(ConnectionError):
+            with contextlib.suppress(ConnectionError, asyncio.LimitOverrunError):
                 await self._session(reader, writer)
         finally:
             self._writers.discard(writer)
             writer.close()
 
     async def _session(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        fields = (await reader.readline()).decode().split()
-        if len(fields) < 3 or fields[1] != self.group.name:
-            writer.write(b"ERROR MISROUTED -\r\n")
+        fields = (await read_line(reader) or "").split(" ", 3)
+        if len(fields) < 3 or fields[:2] != ["STARTUP", self.group.name]:
+            self.send(writer, "READY", "ERROR MISROUTED -\r\n")
             return
         if len(fields) > 3 and fields[3] != self.name:
-            writer.write(b"ERROR MISROUTED -\r\n")
+            self.send(writer, "READY", "ERROR MISROUTED -\r\n")
             return
         if self.sessions >= self.group.connection_limit:
-            writer.write(b"ERROR CONNLIMIT -\r\n")
+            self.send(writer, "READY", "ERROR CONNLIMIT -\r\n")
             return
         self.sessions += 1
         self.peak_sessions = max(self.peak_sessions, self.sessions)
         self._connections += 1
         try:
             session = _Session(target=self, account=fields[2], number=self._connections)
-            writer.write(f"READY I {self.position}\r\n".encode())
-            while line := await reader.readline():
-                answer = await session.answer(line.decode().rstrip("\r\n"))
+            self.send(writer, "READY", f"READY I {self.position}\r\n")
+            while (line := await read_line(reader)) is not None:
+                word, statement_id, text = line.split(" ", 2)
+                if word != "QUERY":
+                    return
+                answer = await session.answer(statement_id, text)
                 if answer is None and self.loses_silently:
                     continue
                 if answer is None:
                     writer.transport.abort()
                     return
-                writer.write(answer.encode())
+                words = text.split(" ")
+                self.send(writer, words[2] if words[0] == "AFTER" else words[0], answer)
         finally:
             self.sessions -= 1
 
 
+def _send_again(writer: asyncio.StreamWriter, data: bytes) -> None:
+    if not writer.is_closing():
+        writer.write(data)
+
+
 class _Session:
     """Session values, prepared statements and transaction of one connection.
 
@@ -129,6 +204,7 @@
         self._values: dict[str, str] = {}
         self._prepared: dict[str, str] = {}
         self._state = "I"
+        self._transactions = 0
         self._writes: list[tuple[str, str]] = []
         self._term = target.group.term
 
@@ -141,11 +217,10 @@
     def _error(self, code: str) -> str:
         if self._state == "T":
             self._state = "E"
-        return f"ERROR {code} {self._target.name}\r\n{self._ready()}"
+        return f"ERROR {code} {self._target.error_text}\r\n{self._ready()}"
 
-    async def answer(self, line: str) -> str | None:
-        _, statement_id, text = line.split(" ", 2)
-        target, group = self._target, self._target.group
+    async def answer(self, statement_id: str, text: str) -> str | None:
+        target = self._target
         if target.delay:
             await asyncio.sleep(target.delay)
         if text.startswith("AFTER "):
@@ -153,20 +228,30 @@
             if not target_has(target, position):
                 return self._error("LAGGING")
         word, _, rest = text.partition(" ")
-        if word == "STATUS":
-            role = "primary" if target.primary else "replica"
-            row = f"ROW {role} {group.term} {target.position} 0 0 0 {target.sessions}\r\n"
-            return self._complete(row)
-        if word == "STEPDOWN":
-            group.primary = "" if group.primary == target.name else group.primary
-            row = f"ROW replica {group.term} {target.position} 0 0 0 {target.sessions}\r\n"
-            return self._complete(row)
+        if self._state == "E" and word not in ("COMMIT", "ROLLBACK"):
+            return self._error("MALFORMED")
+        if target.refuses(word):
+            return self._error("BUSY")
+        if word in ("STATUS", "STEPDOWN"):
+            return self._run_command(word)
         if word in ("SET", "PREPARE", "RESET", "CLOSE"):
             self._run_setup(word, rest)
             return self._complete()
         if word in ("BEGIN", "ROLLBACK"):
             return self._transaction(word, rest)
-        return await self._run(statement_id, word, rest, text)
+        if word in ("READ", "WRITE", "EXECUTE", "COMMIT"):
+            return await self._run(statement_id, word, rest, text)
+        return self._error("MALFORMED")
+
+    def _run_command(self, word: str) -> str:
+        target, group = self._target, self._target.group
+        if word == "STATUS":
+            role = "primary" if target.primary else "replica"
+            row = f"ROW {role} {group.term} {target.position} 0 0 0 {target.sessions}\r\n"
+            return self._complete(row)
+        group.primary = "" if group.primary == target.name else group.primary
+        row = f"ROW replica {group.term} {target.position} 0 0 0 {target.sessions}\r\n"
+        return self._complete(row)
 
     def _run_setup(self, word: str, rest: str) -> None:
         name, _, value = rest.partition(" ")
@@ -183,18 +268,22 @@
         if word == "ROLLBACK":
             self._state, self._writes = "I", []
             return self._complete()
+        if self._state == "T":
+            return self._error("MALFORMED")
         if rest != "READ" and not self._target.primary:
             return self._error("READONLY")
+        self._transactions += 1
         self._state, self._term = "T", self._target.group.term
         return self._complete()
 
     async def _run(self, statement_id: str, word: str, rest: str, text: str) -> str | None:
-        target = self._target
+        target, shape = self._target, ""
         if word == "EXECUTE":
             name, _, arguments = rest.partition(" ")
             if name not in self._prepared:
                 return self._error("NOSTMT")
-            word, rest = self._prepared[name].split(" ")[0], arguments
+            shape = self._prepared[name]
+            word, rest = shape.split(" ")[0], arguments
         run = Run(
             statement_id=statement_id,
             account=self._account,
@@ -202,6 +291,8 @@
             values=tuple(sorted(self._values.items())),
             connection=self._number,
             at=time.monotonic(),
+            shape=shape,
+            transaction=None if self._state == "I" else self._transactions,
         )
         signature = f"{target.name}.{statement_id}"
         if word == "WRITE":
@@ -213,7 +304,7 @@
             if self._state == "I":
                 self._commit()
         elif word == "COMMIT":
-            if self._state == "E" or (self._writes and not target.primary):
+            if self._state != "T" or (self._writes and not target.primary):
                 self._state, self._writes = "I", []
                 return self._error("ABORTED")
             target.runs.append(run)
