End lines of the line protocol at CR LF only, and keep all other bytes

A text that is not UTF-8, or a message of more than 1 MiB, closed the session without an answer.

The cause is framing by readline and rstrip, while the protocol ends a line at CR LF and extends the last field to it. platform/framing.py now owns framing for callers and targets: it reads up to CR LF, maps bytes that are not UTF-8 to surrogate escapes and back, and refuses to encode fields that would be read as others. Rows are kept without their line end. Invalid messages get an ERROR before the close; what the caller sends meanwhile is discarded, since unread bytes would reset the connection before the ERROR arrives. The answer of a target has exactly one COMPLETE or ERROR, before its READY.

--- a/src/greengageshunt/configuration/keys.py
+++ b/src/greengageshunt/configuration/keys.py
@@ -26,8 +26,11 @@
 
 
 def sha256_hex(secret: str) -> str:
-    """Return the SHA-256 digest of a secret, in hexadecimal, as a configuration stores it."""
-    return hashlib.sha256(secret.encode()).hexdigest()
+    """Return the SHA-256 digest of a secret, in hexadecimal, as a configuration stores it.
+
+    A secret that is not UTF-8 holds its other bytes as surrogate escapes.
+    """
+    return hashlib.sha256(secret.encode("utf-8", "surrogateescape")).hexdigest()
 
 
 def create_key(key_id: str, account: str) -> tuple[model.Key, str]:
--- a/src/greengageshunt/platform/frontend.py
+++ b/src/greengageshunt/platform/frontend.py
@@ -7,7 +7,7 @@
 from returns import result
 
 from greengageshunt import application, config, listening, logs
-from greengageshunt.platform import wire
+from greengageshunt.platform import framing, wire
 from greengageshunt.pooling import host as host_module
 from greengageshunt.pooling import session as session_module
 from greengageshunt.pooling import statements
@@ -55,6 +55,9 @@
 # Seconds for the last answers to be sent once all connections are closed.
 FLUSH_TIMEOUT = 0.1
 
+# Seconds for which further bytes of a caller are read after an invalid message.
+DISCARD_TIMEOUT = 1.0
+
 # Line that announces the end of a session. A caller that is idle closes the session when it reads
 # the line. For one whose next statement is on the way, it is the answer: the statement doesn't run.
 _ANNOUNCEMENT = wire.encode_error(statements.Code.BUSY, "this entry VM ends the session; not run")
@@ -122,6 +125,21 @@
         self.writer.close()
 
 
+async def _end_invalid(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, reason: str
+) -> None:
+    """Tell a caller why its connection ends, and discard what else it has sent.
+
+    If unread bytes were left, the kernel would reset the connection, and the caller might not
+    receive the error.
+    """
+    writer.write(wire.encode_error(statements.Code.MALFORMED, reason))
+    writer.write_eof()
+    async with asyncio.timeout(DISCARD_TIMEOUT):
+        while await reader.read(framing.LINE_LIMIT):
+            pass
+
+
 class LineFrontend:
     """Accepts connections of callers and runs their statements in sessions."""
 
@@ -154,7 +172,7 @@
             "sessions",
             address,
             lambda: asyncio.start_server(
-                self._serve, host, int(port), limit=wire.LINE_LIMIT, backlog=BACKLOG
+                self._serve, host, int(port), limit=framing.LINE_LIMIT, backlog=BACKLOG
             ),
         )
         if self._intake_ended:
@@ -240,7 +258,11 @@
             if session is not None:
                 connection.session = session
                 await self._run_statements(connection, session, reader)
-        except (OSError, TimeoutError, ValueError, wire.WireError) as error:
+        except framing.WireError as error:
+            logger.debug("caller sent an invalid message", extra={"reason": str(error)})
+            with contextlib.suppress(OSError, TimeoutError):
+                await _end_invalid(reader, writer, str(error))
+        except (OSError, TimeoutError) as error:
             logger.debug(
                 "caller connection failed", extra={"reason": str(error) or type(error).__name__}
             )
@@ -257,7 +279,10 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> session_module.Session | None:
         async with asyncio.timeout(STARTUP_TIMEOUT):
-            database, key = wire.decode_startup(await reader.readline())
+            line = await framing.read_line(reader)
+        if line is None:
+            return None
+        database, key = wire.decode_startup(line)
         opened = self._host.open(database, key)
         if isinstance(opened, result.Failure):
             refusal = opened.failure()
@@ -278,7 +303,7 @@
             connection.idle_since = self._app.clock()
             line = await self._read_line(session, reader)
             connection.idle_since = None
-            if not line:
+            if line is None:
                 return
             statement = wire.decode_query(line)
             if statement is None:
@@ -307,8 +332,8 @@
 
     async def _read_line(
         self, session: session_module.Session, reader: asyncio.StreamReader
-    ) -> bytes:
-        """Return the next line, or an empty one at the end of the connection.
+    ) -> bytes | None:
+        """Return the next line, or None at the end of the connection.
 
         A transaction that is idle for longer than the limit is aborted meanwhile, which
         releases its connection to the target.
@@ -317,12 +342,12 @@
         if session.holds_connection and limit > 0:
             try:
                 async with asyncio.timeout(limit):
-                    return await reader.readline()
+                    return await framing.read_line(reader)
             except TimeoutError:
                 await session.abort_transaction(
                     "the transaction was idle for longer than its limit"
                 )
-        return await reader.readline()
+        return await framing.read_line(reader)
 
 
 def setup(app: application.Application) -> None:
--- a/src/greengageshunt/platform/targets.py
+++ b/src/greengageshunt/platform/targets.py
@@ -8,7 +8,7 @@
 
 from greengageshunt import application, errors, logs, model
 from greengageshunt.coordination import records
-from greengageshunt.platform import wire
+from greengageshunt.platform import framing, wire
 from greengageshunt.pooling import answers, statements
 
 logger = logging.getLogger(__name__)
@@ -113,7 +113,7 @@
         except TimeoutError as error:
             self.abort()
             raise self._error(f"no answer in {timeout:.3f} s", step, code="TIMEOUT") from error
-        except (OSError, EOFError, ValueError, wire.WireError) as error:
+        except (OSError, framing.WireError) as error:
             self.abort()
             raise self._error(str(error) or type(error).__name__, step) from error
         except asyncio.CancelledError:
@@ -159,7 +159,7 @@
                     b"".join(wire.encode_query(_INTERNAL_STATEMENT_ID, text) for text in commands)
                 )
                 received = [await self._read_answer(text) for text in commands]
-        except (OSError, EOFError, ValueError, wire.WireError, TimeoutError) as error:
+        except (OSError, framing.WireError, TimeoutError) as error:
             self.abort()
             raise self._error(str(error) or type(error).__name__, "set up") from error
         except asyncio.CancelledError:
@@ -194,9 +194,9 @@
         if answer.code or not answer.rows:
             raise self._error(answer.message or "answer has no row", step, code=answer.code)
         try:
-            fields = wire.decode_line(answer.rows[0]).split(" ")
+            fields = framing.decode(answer.rows[0]).split(" ")
             role, term, position = fields[1], int(fields[2]), wire.decode_position(fields[3])
-        except (IndexError, ValueError, wire.WireError) as error:
+        except (IndexError, ValueError, framing.WireError) as error:
             raise self._error(f"row of the answer cannot be decoded: {error}", step) from error
         return TargetStatus(primary=role == "primary", term=term, position=position)
 
@@ -246,39 +246,16 @@
 
     async def _read_answer(self, text: str) -> statements.TargetAnswer:
         awaited = self._awaited(text)
-        rows: list[bytes] = []
         self._idle = False
-        signature, code, message = "", "", ""
-        while True:
-            line = await self._reader.readline()
-            if line.startswith(b"ROW "):
-                rows.append(line)
-                continue
-            word, _, rest = wire.decode_line(line).partition(" ")
-            if word == "COMPLETE":
-                signature = rest
-            elif word == "ERROR":
-                code, _, message = rest.partition(" ")
-            elif word == "READY":
-                state, _, position_text = rest.partition(" ")
-                position = wire.decode_position(position_text)
-                self._idle = state == "I"
-                if position is not None:
-                    self.position = position
-                if not signature and not code:
-                    raise wire.WireError("answer without COMPLETE or ERROR")
-                answer = statements.TargetAnswer(
-                    rows=tuple(rows),
-                    signature=signature,
-                    code=code,
-                    message=message,
-                    state=wire.decode_state(state),
-                    position=position,
-                )
-                self._check_origin(text, awaited, answer)
-                return answer
-            else:
-                raise wire.WireError(f"unexpected message {word[:20]!r}")
+        answer = await wire.read_answer(self._reader)
+        if answer is None:
+            raise framing.WireError("the target closed the connection")
+        if not answer.signature and not answer.code:
+            raise framing.WireError("answer without COMPLETE or ERROR")
+        self._idle = answer.state is _NO_TRANSACTION
+        self.position = answer.position or self.position
+        self._check_origin(text, awaited, answer)
+        return answer
 
     async def start(self) -> None:
         """Start the session at the target.
@@ -288,14 +265,16 @@
         """
         entry = self._entry
         self._writer.write(wire.encode_startup(entry.group, self._account, entry.target))
-        line = wire.decode_line(await self._reader.readline())
-        word, _, rest = line.partition(" ")
+        line = await framing.read_line(self._reader)
+        if line is None:
+            raise framing.WireError("the target closed the connection")
+        word, _, rest = framing.decode(line).partition(" ")
         if word == "ERROR":
             code, _, message = rest.partition(" ")
             raise self._error(f"refused: {message}", "connect", code=code, sent=False)
         if word != "READY":
-            raise wire.WireError(f"unexpected message {word[:20]!r}")
-        self.position = wire.decode_position(rest.partition(" ")[2])
+            raise framing.WireError(f"unexpected message {word[:20]!r}")
+        _, self.position = wire.decode_ready(rest)
 
     def _error(
         self, message: str, step: str, *, code: str = "", sent: bool = True
@@ -322,7 +301,7 @@
         try:
             async with asyncio.timeout(timeout):
                 reader, writer = await asyncio.open_connection(
-                    host, int(port), limit=wire.LINE_LIMIT
+                    host, int(port), limit=framing.LINE_LIMIT
                 )
                 tcp_socket = writer.get_extra_info("socket")
                 tcp_socket.setsockopt(
@@ -340,7 +319,7 @@
         except BaseException as error:
             if writer is not None:
                 writer.transport.abort()
-            if isinstance(error, (OSError, EOFError, ValueError, TimeoutError, wire.WireError)):
+            if isinstance(error, (OSError, ValueError, TimeoutError, framing.WireError)):
                 raise errors.TargetError(
                     str(error) or type(error).__name__,
                     step="connect",
--- a/src/greengageshunt/platform/wire.py
+++ b/src/greengageshunt/platform/wire.py
@@ -1,9 +1,18 @@
 """Encoding of the line protocol between callers, this system and targets."""
 
+import asyncio
+import re
+
 from greengageshunt import model
+from greengageshunt.platform import framing
 from greengageshunt.pooling import statements
 
-LINE_LIMIT = 2**20  # bytes of one line, from a caller or a target
+_POSITION = re.compile(r"([0-9]{1,18})\.([0-9]{1,18})")
+
+# Statements that may grow on their way to a target, by the position that its log must contain or by
+# the target's name of a prepared statement, and the longest line of a caller that still fits then.
+_GROWING_KINDS = (statements.Kind.READ, statements.Kind.PREPARE, statements.Kind.EXECUTE)
+_GROWING_LINE_LIMIT = framing.LINE_LIMIT - 64
 
 # State of the transaction in a READY line.
 _STATES = {
@@ -23,53 +32,35 @@
 }
 
 
-class WireError(Exception):
-    """A line is not a valid message of the protocol."""
-
-
-def decode_line(line: bytes) -> str:
-    """Return the text of a line.
-
-    Raises:
-        WireError: The line is not terminated, or not UTF-8 text.
-    """
-    if not line.endswith(b"\n"):
-        raise WireError("the line is not terminated")
-    try:
-        return line.rstrip(b"\r\n").decode()
-    except UnicodeDecodeError as error:
-        raise WireError("the line is not UTF-8 text") from error
-
-
 def decode_startup(line: bytes) -> tuple[str, str]:
     """Return the database and the key from a caller's first line.
 
     Raises:
         WireError: The line is not a ``STARTUP`` message with a database.
     """
-    word, _, rest = decode_line(line).partition(" ")
-    if word != "STARTUP" or not rest:
-        raise WireError("expected STARTUP with a database")
+    word, _, rest = framing.decode(line).partition(" ")
     database, _, key = rest.partition(" ")
-    return database, key.strip()
+    if word != "STARTUP" or not database:
+        raise framing.WireError("expected STARTUP with a database")
+    return database, key
 
 
 def decode_query(line: bytes) -> statements.Statement | None:
     """Return a caller's statement, or None if the caller ends the session.
 
     Raises:
-        WireError: The line is neither a complete ``QUERY`` nor ``TERMINATE``.
+        WireError: The line is neither a ``QUERY`` with an id nor ``TERMINATE``.
     """
-    text = decode_line(line)
-    word, _, rest = text.partition(" ")
+    word, _, rest = framing.decode(line).partition(" ")
     if word == "TERMINATE":
         return None
     statement_id, _, query = rest.partition(" ")
-    if word != "QUERY" or not statement_id or not query:
-        raise WireError(
-            f"expected QUERY with an id and a statement, or TERMINATE, got {word[:20]!r}"
-        )
-    return decode_statement(statement_id, query)
+    if word != "QUERY" or not statement_id:
+        raise framing.WireError(f"expected QUERY with an id, or TERMINATE, got {word[:20]!r}")
+    statement = decode_statement(statement_id, query)
+    if statement.kind in _GROWING_KINDS and len(line) > _GROWING_LINE_LIMIT:
+        return statements.Statement(id=statement_id, kind=statements.Kind.MALFORMED, text=query)
+    return statement
 
 
 def decode_statement(statement_id: str, text: str) -> statements.Statement:
@@ -85,7 +76,7 @@
 
 def _decode_words(words: list[str], text: str) -> tuple[statements.Kind, dict[str, str]]:
     word, count = words[0], len(words)
-    if word == "READ" and count == 2:
+    if word == "READ" and count >= 2:
         return statements.Kind.READ, {}
     if word == "WRITE" and count >= 3:
         return statements.Kind.WRITE, {}
@@ -103,32 +94,72 @@
         return statements.Kind.SET, {"name": words[1], "value": text.split(" ", 2)[2]}
     if word == "PREPARE" and count == 4 and words[2] in ("READ", "WRITE"):
         return statements.Kind.PREPARE, {"name": words[1], "shape": f"{words[2]} {words[3]}"}
-    if word == "CLOSE" and count == 2:
-        return statements.Kind.CLOSE, {"name": words[1]}
+    if word == "CLOSE" and count >= 2:
+        return statements.Kind.CLOSE, {"name": text.split(" ", 1)[1]}
     return statements.Kind.MALFORMED, {}
 
 
 def encode_ready(state: statements.TransactionState) -> bytes:
     """Return a ``READY`` line for a caller; it never contains a position."""
-    return f"READY {_STATES[state]} -\r\n".encode()
+    return framing.encode("READY", _STATES[state], "-")
 
 
-def decode_state(letter: str) -> statements.TransactionState:
-    """Return the state of the transaction that a target's ``READY`` names.
+def decode_ready(
+    fields: str,
+) -> tuple[statements.TransactionState, model.Position | None]:
+    """Return the state of the transaction and the log position of a target's ``READY``.
 
     Raises:
-        WireError: It names none.
+        WireError: The fields name no state, or an invalid position.
     """
+    letter, _, position = fields.partition(" ")
     state = _STATES_BY_LETTER.get(letter)
     if state is None:
-        raise WireError(f"READY with an unknown state {letter[:20]!r}")
-    return state
+        raise framing.WireError(f"READY with an unknown state {letter[:20]!r}")
+    return state, decode_position(position)
+
+
+async def read_answer(reader: asyncio.StreamReader) -> statements.TargetAnswer | None:
+    """Read an answer of a target, up to its ``READY``; return None at the end of the connection.
+
+    A ``READY`` alone, as after ``STARTUP``, has neither a signature nor a code.
+
+    Raises:
+        WireError: The lines are no answer, or the connection ended inside one.
+        OSError: The connection failed.
+    """
+    rows: list[bytes] = []
+    signature, code, message = "", "", ""
+    while (line := await framing.read_line(reader)) is not None:
+        word, _, rest = framing.decode(line).partition(" ")
+        complete = bool(signature or code)
+        if word == "ROW" and not complete:
+            rows.append(line)
+        elif word == "COMPLETE" and not complete and rest and " " not in rest:
+            signature = rest
+        elif word == "ERROR" and not complete and rest.partition(" ")[0]:
+            code, _, message = rest.partition(" ")
+        elif word == "READY" and (complete or not rows):
+            state, position = decode_ready(rest)
+            return statements.TargetAnswer(
+                rows=tuple(rows),
+                signature=signature,
+                code=code,
+                message=message,
+                state=state,
+                position=position,
+            )
+        else:
+            raise framing.WireError(f"unexpected message {word[:20]!r}")
+    if rows or signature or code:
+        raise framing.WireError("the connection ended inside an answer")
+    return None
 
 
 def encode_error(code: str, message: str) -> bytes:
     """Return an ``ERROR`` line for a caller; line breaks in the message become spaces."""
     text = message.replace("\r", " ").replace("\n", " ")
-    return f"ERROR {code} {text or '-'}\r\n".encode()
+    return framing.encode("ERROR", code, text or "-")
 
 
 def encode_answer(answer: statements.CallerAnswer) -> bytes:
@@ -138,8 +169,8 @@
         if answer.refusal.retry_after is not None:
             message = f"{message}; retry after {answer.refusal.retry_after * 1000:.0f} ms"
         return encode_error(answer.refusal.code, message) + encode_ready(answer.state)
-    complete = f"COMPLETE {answer.signature}\r\n".encode()
-    return b"".join((*answer.rows, complete, encode_ready(answer.state)))
+    rows = b"".join(row + framing.LINE_END for row in answer.rows)
+    return rows + framing.encode("COMPLETE", answer.signature) + encode_ready(answer.state)
 
 
 def encode_position(position: model.Position) -> str:
@@ -155,10 +186,10 @@
     """
     if text == "-":
         return None
-    term, _, number = text.partition(".")
-    if not (term.isdigit() and number.isdigit()):
-        raise WireError(f"not a position: {text[:40]!r}")
-    return model.Position(term=int(term), offset=int(number))
+    parts = _POSITION.fullmatch(text)
+    if parts is None:
+        raise framing.WireError(f"not a position: {text[:40]!r}")
+    return model.Position(term=int(parts[1]), offset=int(parts[2]))
 
 
 def encode_query(statement_id: str, text: str, after: model.Position | None = None) -> bytes:
@@ -168,11 +199,19 @@
         statement_id: Id of the statement.
         text: Text of the statement.
         after: Position that the target's log must have reached to run it, or None.
+
+    Raises:
+        WireError: The text contains the end of a line, or is too long for one.
     """
-    prefix = f"AFTER {encode_position(after)} " if after else ""
-    return f"QUERY {statement_id} {prefix}{text}\r\n".encode()
+    if after is None:
+        return framing.encode("QUERY", statement_id, text)
+    return framing.encode("QUERY", statement_id, "AFTER", encode_position(after), text)
 
 
 def encode_startup(group: str, account: str, target: str) -> bytes:
-    """Return the ``STARTUP`` line of a connection to a target."""
-    return f"STARTUP {group} {account} {target}\r\n".encode()
+    """Return the ``STARTUP`` line of a connection to a target.
+
+    Raises:
+        WireError: A name contains a blank or the end of a line.
+    """
+    return framing.encode("STARTUP", group, account, target)
--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -166,7 +166,8 @@
     async def _malformed(
         self, statement: statements.Statement, received_at: float
     ) -> statements.CallerAnswer:
-        return self._refuse(statements.Code.MALFORMED, "the statement is not understood", "session")
+        reason = "the statement is not understood, or too long to be sent on"
+        return self._refuse(statements.Code.MALFORMED, reason, "session")
 
     async def _update_held_connection(self) -> statements.CallerAnswer:
         """Set the session variables on the connection of the open transaction."""
