Give a connection the session values of a transaction with its next statement

A caller whose SET in a transaction was refused got ABORTED, but the session kept the value, and later statements ran with it (PINNED). SET is now answered as outside of transactions, and the connection gets the value before the next statement; if the target refuses it, that statement is answered with ABORTED and the transaction is rolled back.

test_refused_session_value_in_a_transaction failed before.

--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -148,8 +148,9 @@
     async def _set(
         self, statement: statements.Statement, received_at: float
     ) -> statements.CallerAnswer:
+        # The connection gets the value before the next statement, also in a transaction.
         self._values[statement.name] = statement.value
-        return await self._update_held_connection()
+        return statements.CallerAnswer()
 
     async def _prepare(
         self, statement: statements.Statement, received_at: float
@@ -169,20 +170,6 @@
         reason = "the statement is not understood, or too long to be sent on"
         return self._refuse(statements.Code.MALFORMED, reason, "session")
 
-    async def _update_held_connection(self) -> statements.CallerAnswer:
-        """Set the session variables on the connection of the open transaction."""
-        transaction = self._transaction
-        if transaction is None or transaction.placement is None:
-            return statements.CallerAnswer()
-        try:
-            await transaction.placement.connection.apply_session_state(
-                self._values, (), execution.SETUP_TIMEOUT
-            )
-        except errors.TargetError as error:
-            await self._fail_transaction(transaction)
-            return self._refuse(statements.Code.ABORTED, str(error), error.step, error.peer)
-        return statements.CallerAnswer()
-
     async def _admit(
         self, statement: statements.Statement, received_at: float, *, primary_only: bool
     ) -> result.Result[execution.Operation, errors.Refusal]:
--- a/tests/test_platform/test_repeated_answers.py
+++ b/tests/test_platform/test_repeated_answers.py
@@ -171,6 +171,20 @@
     assert not violations, violations
 
 
+async def test_refused_session_value_in_a_transaction(fleet, run_ledger):
+    """Guards against later statements that run with a value whose SET got an error."""
+    target = fleet.group.targets["t-1"]
+    script = _Script(fleet=fleet, run_ledger=run_ledger)
+    await script.open()
+    await script.run("BEGIN", "READ i")
+    target.refuse_words, target.refuse_share = ("SET",), 1.0
+    await script.run("SET a 1", "READ i")
+    target.refuse_share = 0.0
+    await script.run("ROLLBACK", "READ i")
+    violations = run_ledger.violations(fleet.group, ())
+    assert not violations, violations
+
+
 @pytest.mark.parametrize("delay", [0.0, 0.1])
 async def test_repeated_refusal_in_front_of_a_write_that_runs(fleet, run_ledger, delay):
     """Guards against a write that runs, while a repeated error tells that it did not."""
