Attribute each answer of a target to its statement, or to none

Callers saw successes with another statement's signature or rows (MIXED), statements in other shapes, with other session values or outside their transaction (PINNED), and writes that ran were answered with a promise that nothing is kept (REFUSED). Targets may send an answer twice, the second time late. An answer carries no id, and each one that arrived was taken for the answer to the statement that was awaited; one repeated answer shifted all later ones of its connection, for each caller that got it from the pool.

The class of fault: an answer is attributed by its place in a stream whose sender may add to it.

One task reads the answers of a connection. pooling/answers.py attributes each by what the connection has received before: a new signature, or a BEGIN in a transaction at a new position, belongs to the oldest awaited statement; what came before is skipped, and the connection ends with its operation. An error that came before, or that may belong to a set-up command, decides nothing: a read is tried elsewhere, a write gets INDOUBT. Set-up commands are followed by harmless ones, so that the error of a refused one arrives before the statement is sent (platform/session_setup.py). Writes use no connection on which an error arrived, and transactions none that may repeat the answer to BEGIN. ROLLBACK closes the connection. A statement that was not sent is not in doubt.

--- a/src/greengageshunt/platform/targets.py
+++ b/src/greengageshunt/platform/targets.py
@@ -8,7 +8,7 @@
 
 from greengageshunt import application, errors, logs, model
 from greengageshunt.coordination import records
-from greengageshunt.platform import framing, wire
+from greengageshunt.platform import framing, session_setup, wire
 from greengageshunt.pooling import answers, statements
 
 logger = logging.getLogger(__name__)
@@ -17,15 +17,20 @@
 _INTERNAL_STATEMENT_ID = "-"
 
 _NO_TRANSACTION = statements.TransactionState.NONE
-_OPEN_TRANSACTION = statements.TransactionState.OPEN
 
 # Statements that a target answers with a signature.
 _SIGNED_STATEMENTS = frozenset({"READ", "WRITE", "EXECUTE", "COMMIT"})
 
+_STATUS_STATEMENTS = frozenset({"STATUS", "STEPDOWN"})
+
 # Milliseconds after which the kernel closes a connection whose sent data is not acknowledged.
 TCP_USER_TIMEOUT_MS = 3000
 
 
+# Answers after which a connection is replaced, since it keeps their signatures.
+ANSWER_LIMIT = 4096
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class TargetStatus:
     """Status that a target reports.
@@ -41,8 +46,47 @@
     position: model.Position | None
 
 
+class _Exchange:
+    """Statements that were sent together, and their answers so far.
+
+    Attributes:
+        received: Answers, in the order of the statements.
+        done: Set once all answers have arrived or none can arrive any more.
+        failure: Why the answers are incomplete, or an empty string.
+        uncertain: Whether the last answer may belong to another statement.
+    """
+
+    def __init__(self, *, awaited: tuple[answers.Awaited, ...]) -> None:
+        self._awaited = awaited
+        self.received: list[statements.TargetAnswer] = []
+        self.done = asyncio.Event()
+        self.failure = ""
+        self.uncertain = False
+
+    @property
+    def complete(self) -> bool:
+        """Whether all answers have arrived."""
+        return len(self.received) == len(self._awaited)
+
+    @property
+    def next_awaited(self) -> answers.Awaited | None:
+        """Statement whose answer is due next, or None if all have arrived."""
+        return None if self.complete else self._awaited[len(self.received)]
+
+    def add(self, answer: statements.TargetAnswer) -> None:
+        """Add the answer that is due."""
+        self.received.append(answer)
+        if self.complete:
+            self.done.set()
+
+    def fail(self, failure: str) -> None:
+        """End the wait for answers that can't arrive any more."""
+        self.failure = failure
+        self.done.set()
+
+
 class LineConnection:
-    """One connection to a target; one task uses it at a time."""
+    """One connection to a target; one task uses it at a time, and one reads the answers."""
 
     def __init__(
         self,
@@ -57,13 +101,16 @@
         self._account = account
         self._reader = reader
         self._writer = writer
-        self.session_values: dict[str, str] = {}
-        self.prepared_statements: dict[str, str] = {}
-        self.position: model.Position | None = None
-        self.used_at = 0.0
-        self._idle = True
         self._report = report
         self._history = answers.AnswerHistory()
+        self._exchange = _Exchange(awaited=())
+        self._state = _NO_TRANSACTION
+        self._position: model.Position | None = None
+        self._setup = session_setup.SessionSetup()
+        self._saw_unexpected = False
+        self._disputed: statements.TargetAnswer | None = None
+        self._reading: asyncio.Task[None] | None = None
+        self.used_at = 0.0
 
     @property
     def entry(self) -> records.TargetEntry:
@@ -75,15 +122,66 @@
         """Client account to which the connection belongs."""
         return self._account
 
+    @property
+    def session_values(self) -> abc.Mapping[str, str]:
+        """Session values that the connection has."""
+        return self._setup.values
+
     @property
     def closed(self) -> bool:
         """Whether either end has closed the connection."""
-        return self._reader.at_eof() or self._writer.is_closing()
+        ended = self._reading is not None and self._reading.done()
+        return ended or self._reader.at_eof() or self._writer.is_closing()
 
     @property
     def idle(self) -> bool:
-        """Whether no transaction is open and no answer is awaited."""
-        return self._idle
+        """Whether another statement may use the connection.
+
+        None may while a transaction is open or an answer is awaited, nor after an answer that no
+        statement awaited.
+        """
+        return (
+            self._state is _NO_TRANSACTION
+            and self._exchange.complete
+            and not self._saw_unexpected
+            and self._history.size < ANSWER_LIMIT
+        )
+
+    def suits(
+        self,
+        values: abc.Mapping[str, str] | None,
+        shapes: abc.Collection[str],
+        *,
+        errors_matter: bool,
+        transaction: bool,
+    ) -> bool:
+        """Return whether the answers to an operation will differ from all earlier ones.
+
+        ``pooling.answers`` says why they must.
+
+        Args:
+            values: Session values of the operation, or None if they don't matter yet.
+            shapes: Shapes of the prepared statements that its first statement executes.
+            errors_matter: Whether an error decides if a write ran.
+            transaction: Whether the operation is a transaction.
+        """
+        if errors_matter and self._history.has_errors:
+            return False
+        if transaction and not self._history.may_begin(self._position):
+            return False
+        earlier = self._history.unsigned
+        if values is None:
+            return True
+        planned = session_setup.plan(self._setup, values, shapes, earlier=earlier)
+        return session_setup.is_cheap(planned, earlier=earlier)
+
+    def prepared_name(self, shape: str) -> str:
+        """Return the name under which the connection has prepared a shape."""
+        return self._setup.names[shape]
+
+    def forget_prepared(self) -> None:
+        """Prepare each statement again before its next use, since the target lacks one."""
+        self._setup = dataclasses.replace(self._setup, names={})
 
     async def run(
         self,
@@ -92,6 +190,7 @@
         *,
         timeout: float,
         after: model.Position | None = None,
+        errors_matter: bool = False,
     ) -> statements.TargetAnswer:
         """Run one statement and return the complete answer.
 
@@ -100,25 +199,22 @@
             text: Text of the statement.
             timeout: Seconds to wait for the complete answer.
             after: Position that the target's log must have reached, or None.
+            errors_matter: Whether an error decides if a write ran.
 
         Raises:
             TargetError: The answer is missing or incomplete; the connection is closed. Its
                 ``code`` is ``TIMEOUT`` after a time-out.
+            UncertainAnswerError: The answer may belong to another statement; the connection is
+                closed.
         """
         step = text.partition(" ")[0].lower()
         try:
-            async with asyncio.timeout(timeout):
-                self._writer.write(wire.encode_query(statement_id, text, after))
-                return await self._read_answer(text)
-        except TimeoutError as error:
-            self.abort()
-            raise self._error(f"no answer in {timeout:.3f} s", step, code="TIMEOUT") from error
-        except (OSError, framing.WireError) as error:
-            self.abort()
-            raise self._error(str(error) or type(error).__name__, step) from error
-        except asyncio.CancelledError:
-            self.abort()
-            raise
+            message = wire.encode_query(statement_id, text, after)
+        except framing.WireError as error:
+            raise self._error(str(error), step, sent=False) from error
+        awaited = self._awaited(statement_id, text, errors_matter)
+        received = await self._send(message, (awaited,), step, timeout)
+        return received[0]
 
     async def apply_session_state(
         self, values: abc.Mapping[str, str], shapes: abc.Collection[str], timeout: float
@@ -134,43 +230,27 @@
             timeout: Seconds to wait for all answers.
 
         Raises:
-            TargetError: The target rejected a command, or its answers are incomplete; the
-                connection is closed.
+            TargetError: The target rejected a command, or its answers are incomplete or may
+                belong to others; the connection is closed.
         """
-        commands = []
-        if not self.session_values.keys() <= values.keys():
-            commands.append("RESET")
-            self.session_values, self.prepared_statements = {}, {}
-        for name, value in values.items():
-            if self.session_values.get(name) != value:
-                commands.append(f"SET {name} {value}")
-        names = {
-            shape: f"p{len(self.prepared_statements) + i}"
-            for i, shape in enumerate(
-                shape for shape in shapes if shape not in self.prepared_statements
-            )
-        }
-        commands.extend(f"PREPARE {name} {shape}" for shape, name in names.items())
-        if not commands:
+        planned = session_setup.plan(
+            self._setup,
+            values,
+            shapes,
+            earlier=self._history.unsigned,
+            in_transaction=self._state is not _NO_TRANSACTION,
+        )
+        if not planned.commands:
             return
-        try:
-            async with asyncio.timeout(timeout):
-                self._writer.write(
-                    b"".join(wire.encode_query(_INTERNAL_STATEMENT_ID, text) for text in commands)
-                )
-                received = [await self._read_answer(text) for text in commands]
-        except (OSError, framing.WireError, TimeoutError) as error:
-            self.abort()
-            raise self._error(str(error) or type(error).__name__, "set up") from error
-        except asyncio.CancelledError:
-            self.abort()
-            raise
+        texts = planned.commands + planned.padding
+        messages = [wire.encode_query(_INTERNAL_STATEMENT_ID, text) for text in texts]
+        awaited = tuple(self._awaited(_INTERNAL_STATEMENT_ID, text) for text in texts)
+        received = await self._send(b"".join(messages), awaited, "set up", timeout)
         rejected = [answer for answer in received if answer.code]
         if rejected:
             self.abort()
             raise self._error(f"{rejected[0].code} {rejected[0].message}", "set up")
-        self.session_values = dict(values)
-        self.prepared_statements.update(names)
+        self._setup = planned.result
 
     async def status(self, timeout: float) -> TargetStatus:
         """Request the target's status.
@@ -191,8 +271,8 @@
     async def _run_command(self, text: str, timeout: float) -> TargetStatus:
         answer = await self.run(_INTERNAL_STATEMENT_ID, text, timeout=timeout)
         step = text.partition(" ")[0].lower()
-        if answer.code or not answer.rows:
-            raise self._error(answer.message or "answer has no row", step, code=answer.code)
+        if answer.code:
+            raise self._error(answer.message, step, code=answer.code)
         try:
             fields = framing.decode(answer.rows[0]).split(" ")
             role, term, position = fields[1], int(fields[2]), wire.decode_position(fields[3])
@@ -208,35 +288,122 @@
         """Close the connection once all written data has been sent."""
         self._writer.close()
 
-    def _awaited(self, text: str) -> answers.Awaited:
+    async def start(self) -> asyncio.Task[None]:
+        """Start the session at the target; return a task that reads the answers until it ends.
+
+        Raises:
+            TargetError: The target refused; ``code`` is the target's error code.
+        """
+        entry = self._entry
+        self._writer.write(wire.encode_startup(entry.group, self._account, entry.target))
+        line = await framing.read_line(self._reader)
+        if line is None:
+            raise self._error("the target closed the connection", "connect", sent=False)
+        word, _, rest = framing.decode(line).partition(" ")
+        if word == "ERROR":
+            code, _, message = rest.partition(" ")
+            raise self._error(f"refused: {message}", "connect", code=code, sent=False)
+        if word != "READY":
+            raise framing.WireError(f"unexpected message {word[:20]!r}")
+        _, self._position = wire.decode_ready(rest)
+        self._reading = asyncio.create_task(self._read_answers())
+        return self._reading
+
+    def _awaited(
+        self, statement_id: str, text: str, errors_matter: bool = False
+    ) -> answers.Awaited:
         """Return what the success of a statement looks like."""
         word = text.partition(" ")[0]
-        state = _NO_TRANSACTION if self._idle else _OPEN_TRANSACTION
+        state = self._state
         if word in _SIGNED_STATEMENTS:
-            after = _NO_TRANSACTION if word == "COMMIT" else state
-            return answers.Awaited(kind=answers.Kind.SIGNED, state=after)
-        if word == "BEGIN":
-            return answers.Awaited(kind=answers.Kind.BEGIN, state=_OPEN_TRANSACTION)
-        if word in ("STATUS", "STEPDOWN"):
-            return answers.Awaited(kind=answers.Kind.STATUS, state=state)
+            kind = answers.Kind.SIGNED
+            state = _NO_TRANSACTION if word == "COMMIT" else state
+        elif word == "BEGIN":
+            kind, state = answers.Kind.BEGIN, statements.TransactionState.OPEN
+        else:
+            kind = answers.Kind.STATUS if word in _STATUS_STATEMENTS else answers.Kind.SETUP
+        # A transaction whose connection ends is rolled back, whichever statement the error is for.
+        settle_errors = errors_matter and self._state is _NO_TRANSACTION
         return answers.Awaited(
-            kind=answers.Kind.SETUP, state=_NO_TRANSACTION if word == "ROLLBACK" else state
+            statement_id=statement_id, kind=kind, state=state, settle_errors=settle_errors
         )
 
-    def _check_origin(
-        self, text: str, awaited: answers.Awaited, answer: statements.TargetAnswer
-    ) -> None:
-        """Log and count an answer that may not belong to the statement."""
+    async def _send(
+        self, message: bytes, awaited: tuple[answers.Awaited, ...], step: str, timeout: float
+    ) -> list[statements.TargetAnswer]:
+        """Send statements and return their answers; see ``run`` for the errors."""
+        if self.closed:
+            raise self._failure(self._exchange, step, sent=False)
+        self._exchange = exchange = _Exchange(awaited=awaited)
+        try:
+            async with asyncio.timeout(timeout):
+                self._writer.write(message)
+                await exchange.done.wait()
+        except TimeoutError as error:
+            self.abort()
+            raise self._error(f"no answer in {timeout:.3f} s", step, code="TIMEOUT") from error
+        except asyncio.CancelledError:
+            self.abort()
+            raise
+        if exchange.complete:
+            return exchange.received
+        raise self._failure(exchange, step, sent=True)
+
+    def _failure(self, exchange: _Exchange, step: str, *, sent: bool) -> errors.TargetError:
+        """Return the error for an exchange that ended the connection."""
+        kind = errors.UncertainAnswerError if exchange.uncertain else errors.TargetError
+        reason = exchange.failure or "the connection is closed"
+        return kind(reason, step=step, peer=self._entry.target, sent=sent)
+
+    async def _read_answers(self) -> None:
+        """Read answers until the connection ends, and pass each to the statement it belongs to."""
+        failure = "the target closed the connection"
+        try:
+            while (answer := await wire.read_answer(self._reader)) is not None:
+                if not self._accept(answer):
+                    failure = "an answer may belong to another statement"
+                    break
+        except (OSError, framing.WireError) as error:
+            failure = str(error) or type(error).__name__
+        finally:
+            self.abort()
+            self._exchange.fail(failure)
+
+    def _accept(self, answer: statements.TargetAnswer) -> bool:
+        """Take an answer; return whether the answers that follow can be attributed."""
+        exchange = self._exchange
+        awaited = exchange.next_awaited
         origin = self._history.judge(awaited, answer)
         if origin is answers.Origin.OWN:
-            return
+            self._state, self._position = answer.state, answer.position
+            exchange.add(answer)
+            return True
+        self._saw_unexpected = True
+        if origin is answers.Origin.DISPUTED:
+            self._disputed = answer
+            # RESET does no harm, since no other statement uses the connection.
+            reset = wire.encode_query(_INTERNAL_STATEMENT_ID, "RESET")
+            self._writer.write(reset * self._history.disputed_answers)
+        elif origin is answers.Origin.SETTLED:
+            exchange.add(self._disputed)
+            return True
+        self._log_unexpected(awaited, answer, origin)
+        exchange.uncertain = origin is answers.Origin.UNCERTAIN
+        return not exchange.uncertain
+
+    def _log_unexpected(
+        self,
+        awaited: answers.Awaited | None,
+        answer: statements.TargetAnswer,
+        origin: answers.Origin,
+    ) -> None:
         logs.log_decision(
             logger,
             "unexpected-answer",
             level=logging.WARNING,
             target=self._entry.target,
             account=self._account,
-            statement=text.partition(" ")[0],
+            awaited=awaited.kind.value if awaited else "",
             origin=origin.value,
             code=answer.code,
             signature=answer.signature,
@@ -244,38 +411,6 @@
         )
         self._report(answers.UnexpectedAnswer(target=self._entry.target, origin=origin))
 
-    async def _read_answer(self, text: str) -> statements.TargetAnswer:
-        awaited = self._awaited(text)
-        self._idle = False
-        answer = await wire.read_answer(self._reader)
-        if answer is None:
-            raise framing.WireError("the target closed the connection")
-        if not answer.signature and not answer.code:
-            raise framing.WireError("answer without COMPLETE or ERROR")
-        self._idle = answer.state is _NO_TRANSACTION
-        self.position = answer.position or self.position
-        self._check_origin(text, awaited, answer)
-        return answer
-
-    async def start(self) -> None:
-        """Start the session at the target.
-
-        Raises:
-            TargetError: The target refused; ``code`` is the target's error code.
-        """
-        entry = self._entry
-        self._writer.write(wire.encode_startup(entry.group, self._account, entry.target))
-        line = await framing.read_line(self._reader)
-        if line is None:
-            raise framing.WireError("the target closed the connection")
-        word, _, rest = framing.decode(line).partition(" ")
-        if word == "ERROR":
-            code, _, message = rest.partition(" ")
-            raise self._error(f"refused: {message}", "connect", code=code, sent=False)
-        if word != "READY":
-            raise framing.WireError(f"unexpected message {word[:20]!r}")
-        _, self.position = wire.decode_ready(rest)
-
     def _error(
         self, message: str, step: str, *, code: str = "", sent: bool = True
     ) -> errors.TargetError:
@@ -287,6 +422,8 @@
 
     def __init__(self, *, app: application.Application) -> None:
         self._app = app
+        # The event loop keeps only weak references to tasks.
+        self._readings: set[asyncio.Task[None]] = set()
 
     async def connect(
         self, entry: records.TargetEntry, account: str, timeout: float
@@ -314,7 +451,9 @@
                     writer=writer,
                     report=lambda answer: self._app.events.emit("answer-unexpected", answer),
                 )
-                await connection.start()
+                reading = await connection.start()
+                self._readings.add(reading)
+                reading.add_done_callback(self._readings.discard)
                 return connection
         except BaseException as error:
             if writer is not None:
--- a/src/greengageshunt/pooling/execution.py
+++ b/src/greengageshunt/pooling/execution.py
@@ -5,6 +5,7 @@
 import dataclasses
 import logging
 import math
+from collections import abc
 from typing import Any
 
 from greengageshunt import application, errors, model
@@ -53,6 +54,7 @@
         account: Client account on whose behalf it runs.
         began_at: Monotonic seconds at which its first statement was received.
         primary_only: Whether only the primary can run it.
+        transaction: Whether it is a transaction.
         last_commit_position: Log position of the session's last commit, or None.
     """
 
@@ -61,6 +63,7 @@
     account: str
     began_at: float
     primary_only: bool
+    transaction: bool
     last_commit_position: model.Position | None
 
 
@@ -95,6 +98,23 @@
         return self.pool.entry.target
 
 
+def _suits(
+    operation: Operation,
+    values: abc.Mapping[str, str] | None = None,
+    shapes: abc.Collection[str] = (),
+) -> pool.Suits:
+    """Return what decides whether an operation may use a connection that was used before.
+
+    Args:
+        operation: The operation.
+        values: Session variables, or None if they are not known yet.
+        shapes: Shapes of the prepared statements that its first statement executes.
+    """
+    return lambda connection: connection.suits(
+        values, shapes, errors_matter=operation.primary_only, transaction=operation.transaction
+    )
+
+
 class NotPlacedError(errors.GreengageshuntError):
     """No connection to an eligible target was available in time; the statement did not run."""
 
@@ -134,7 +154,7 @@
         chosen, _ = self._choose(operation, set(), now)
         entry = self._view.target(chosen.target)
         if entry is not None:
-            self._pools.pool(entry).open_ahead(operation.account, now)
+            self._pools.pool(entry).open_ahead(operation.account, now, _suits(operation))
 
     async def place(
         self,
@@ -237,10 +257,13 @@
             error: Error that the driver raised.
             sent_at: Monotonic seconds at which the statement was sent.
         """
+        now = self._app.clock()
+        if isinstance(error, errors.UncertainAnswerError):
+            placement.pool.record_answer(now)
+            return
         if placement.pool.answered_at >= sent_at:
             # The target has since answered on other connections, so only this one failed.
             return
-        now = self._app.clock()
         if error.code != statements.Code.TIMEOUT:
             placement.pool.record_broken_connection()
         elif now - sent_at >= pool.CONNECT_TIMEOUT:
@@ -312,7 +335,7 @@
         primary_lease = self._leases.lease(group, now)
         needs = self.needs(operation)
         candidates = [
-            self._candidate(entry, primary_lease, operation.account, tried, now)
+            self._candidate(entry, primary_lease, operation, tried, now)
             for entry in self._view.targets_of(group)
         ]
         return choice.choose(
@@ -323,7 +346,7 @@
         self,
         entry: records.TargetEntry,
         primary_lease: lease.Lease,
-        account: str,
+        operation: Operation,
         tried: set[str],
         now: float,
     ) -> choice.Candidate:
@@ -336,7 +359,7 @@
             primary=primary,
             busy=target_pool.busy,
             same_domain=entry.failure_domain == self._own_member.failure_domain,
-            has_idle_connection=target_pool.has_idle(account),
+            has_idle_connection=target_pool.has_idle(operation.account, _suits(operation)),
             # A draining primary serves until another target has taken over.
             usable=usable and (primary or not entry.draining),
             response_seconds=response_seconds if now - noted_at <= RESPONSE_TIME_EXPIRY else 0.0,
@@ -365,12 +388,18 @@
         target_pool = self._pools.pool(entry)
         database = operation.database
         connection = await target_pool.acquire(
-            operation.account, values, database.priority, deadline
+            operation.account,
+            values,
+            database.priority,
+            deadline,
+            _suits(operation, values, shapes),
         )
         try:
             await connection.apply_session_state(values, shapes, SETUP_TIMEOUT)
         except BaseException as error:
-            if isinstance(error, errors.TargetError):
+            if isinstance(error, errors.UncertainAnswerError):
+                target_pool.record_answer(self._app.clock())
+            elif isinstance(error, errors.TargetError):
                 target_pool.record_failure(self._app.clock())
             target_pool.release(connection)
             raise
--- a/src/greengageshunt/pooling/host.py
+++ b/src/greengageshunt/pooling/host.py
@@ -71,6 +71,7 @@
         received_at: float,
         *,
         primary_only: bool,
+        transaction: bool,
         last_commit_position: model.Position | None,
     ) -> result.Result[execution.Operation, errors.Refusal]:
         """Check the key, its confirmation and the rate limit at the start of an operation.
@@ -82,6 +83,7 @@
             request: Id of the operation's first statement.
             received_at: Monotonic seconds at which that statement was received.
             primary_only: Whether only the primary can run the operation.
+            transaction: Whether the operation is a transaction.
             last_commit_position: Log position of the session's last commit, or None.
 
         Returns:
@@ -99,6 +101,7 @@
             account=account,
             began_at=received_at,
             primary_only=primary_only,
+            transaction=transaction,
             last_commit_position=last_commit_position,
         )
         if account == identity.KEYLESS_ACCOUNT:
--- a/src/greengageshunt/pooling/outcomes.py
+++ b/src/greengageshunt/pooling/outcomes.py
@@ -17,7 +17,7 @@
     if in_transaction:
         # A target rolls back the open transaction of a connection that closes.
         return statements.Code.ABORTED
-    if writes:
+    if writes and error.sent:
         return statements.Code.INDOUBT
     if error.code == statements.Code.TIMEOUT:
         return statements.Code.TIMEOUT
--- a/src/greengageshunt/pooling/pool.py
+++ b/src/greengageshunt/pooling/pool.py
@@ -37,6 +37,14 @@
 OVERTAKE_WINDOW = 4
 
 
+# Returns whether a statement may use a connection of its client account.
+Suits = abc.Callable[[Any], bool]
+
+
+def _suits_all(connection: Any) -> bool:
+    return True
+
+
 class PoolBusyError(errors.GreengageshuntError):
     """No connection became available by the deadline."""
 
@@ -54,13 +62,15 @@
     Attributes:
         account: Client account.
         priority: Order among waiting statements; lower goes first.
+        suits: Whether the statement may use a connection of its account.
         granted: Future that completes with a connection, with None if capacity is reserved to
             open one, or with an error.
     """
 
-    def __init__(self, *, account: str, priority: int) -> None:
+    def __init__(self, *, account: str, priority: int, suits: Suits) -> None:
         self.account = account
         self.priority = priority
+        self.suits = suits
         self.granted: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
 
 
@@ -170,9 +180,9 @@
             return False
         return now - self._failed_at >= UNREACHABLE_BACKOFF
 
-    def has_idle(self, account: str) -> bool:
-        """Return whether a client account has an idle or expected connection."""
-        idle = any(connection.account == account for connection in self._idle)
+    def has_idle(self, account: str, suits: Suits = _suits_all) -> bool:
+        """Return whether a client account has an idle connection that suits, or an expected one."""
+        idle = any(connection.account == account and suits(connection) for connection in self._idle)
         return idle or self._unclaimed(account) is not None
 
     def record_answer(self, now: float) -> None:
@@ -217,7 +227,7 @@
             self._idle.remove(least_recent)
             self._discard(least_recent)
 
-    def open_ahead(self, account: str, now: float) -> None:
+    def open_ahead(self, account: str, now: float, suits: Suits = _suits_all) -> None:
         """Open a connection for a statement of a client account that is about to arrive.
 
         Nothing happens if the account has a connection already, or if one could only be opened
@@ -226,8 +236,9 @@
         Args:
             account: Client account.
             now: Monotonic seconds.
+            suits: Whether the statement may use an open connection.
         """
-        if self._failures or self._waiters or self.has_idle(account):
+        if self._failures or self._waiters or self.has_idle(account, suits):
             return
         if self._open >= self.limit(now):
             return
@@ -273,7 +284,12 @@
         return next(matching, None)
 
     async def acquire(
-        self, account: str, values: abc.Mapping[str, str], priority: int, deadline: float
+        self,
+        account: str,
+        values: abc.Mapping[str, str],
+        priority: int,
+        deadline: float,
+        suits: Suits = _suits_all,
     ) -> Any:
         """Return a connection of a client account; the caller must release it.
 
@@ -282,6 +298,7 @@
             values: Session variables; a connection that already has them is preferred.
             priority: Order among waiting statements; lower goes first.
             deadline: Monotonic seconds at which the wait ends.
+            suits: Whether an open connection may be used; a new one always may.
 
         Raises:
             PoolBusyError: No connection became available by the deadline.
@@ -289,7 +306,7 @@
                 to waiting statements when the attempt of another one shows that the target
                 cannot be reached.
         """
-        idle_connection = self._take_idle(account, values)
+        idle_connection = self._take_idle(account, values, suits)
         if idle_connection is not None:
             return idle_connection
         expected = self._unclaimed(account)
@@ -297,7 +314,7 @@
             return await self._claim(expected, deadline)
         if self._reserve_capacity():
             return await self._connect(account, deadline)
-        waiter = _Waiter(account=account, priority=priority)
+        waiter = _Waiter(account=account, priority=priority, suits=suits)
         self._enqueue(waiter)
         try:
             async with asyncio.timeout(max(0.0, deadline - self._clock())):
@@ -326,7 +343,7 @@
         waiter = self._next_waiter(connection.account)
         if waiter is None:
             self._add_idle(connection)
-        elif waiter.account == connection.account:
+        elif waiter.account == connection.account and waiter.suits(connection):
             waiter.granted.set_result(connection)
         else:
             connection.close()
@@ -347,13 +364,13 @@
             self._idle.remove(connection)
             self._discard(connection)
 
-    def _take_idle(self, account: str, values: abc.Mapping[str, str]) -> Any:
+    def _take_idle(self, account: str, values: abc.Mapping[str, str], suits: Suits) -> Any:
         matching = []
         for connection in list(self._idle):
-            if connection.closed:
+            if connection.closed or not connection.idle:
                 self._idle.remove(connection)
                 self._discard(connection)
-            elif connection.account == account:
+            elif connection.account == account and suits(connection):
                 matching.append(connection)
         if not matching:
             return None
--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -28,10 +28,6 @@
 # Seconds of delay after a failed attempt at the primary, which may be changing or overloaded.
 PRIMARY_RETRY_DELAY = 0.02
 
-# Seconds to wait for the answer to ROLLBACK. Without one, the connection is closed and the target
-# rolls the transaction back.
-ROLLBACK_TIMEOUT = 0.5
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Attempt:
@@ -113,12 +109,12 @@
             reason=reason,
         )
         self._transaction.failed = True
-        await self._release_connection(self._transaction)
+        self._release_connection(self._transaction)
 
     async def close(self) -> None:
         """Close the session and release its connection."""
         if self._transaction is not None:
-            await self._release_connection(self._transaction)
+            self._release_connection(self._transaction)
             self._transaction = None
 
     async def _dispatch(
@@ -139,7 +135,7 @@
             return await handler(self, statement, received_at)
         if kind is statements.Kind.EXECUTE and statement.name not in self._prepared:
             if self._transaction is not None:
-                await self._fail_transaction(self._transaction)
+                self._fail_transaction(self._transaction)
             return self._refuse(statements.Code.NO_STATEMENT, statement.name, "session")
         if self._transaction is not None:
             return await self._run_in_transaction(self._transaction, statement, received_at)
@@ -171,7 +167,12 @@
         return self._refuse(statements.Code.MALFORMED, reason, "session")
 
     async def _admit(
-        self, statement: statements.Statement, received_at: float, *, primary_only: bool
+        self,
+        statement: statements.Statement,
+        received_at: float,
+        *,
+        primary_only: bool,
+        transaction: bool,
     ) -> result.Result[execution.Operation, errors.Refusal]:
         """Start an operation if its key, the confirmation and the rate limit allow it."""
         return await self._host.admit(
@@ -179,6 +180,7 @@
             statement.id,
             received_at,
             primary_only=primary_only,
+            transaction=transaction,
             last_commit_position=self._position,
         )
 
@@ -186,12 +188,14 @@
         self, statement: statements.Statement, received_at: float
     ) -> statements.CallerAnswer:
         if self._transaction is not None:
-            await self._fail_transaction(self._transaction)
+            self._fail_transaction(self._transaction)
             return self._refuse(
                 statements.Code.MALFORMED, "a transaction is already open", "session"
             )
         read_write = statement.kind is statements.Kind.BEGIN
-        admitted = await self._admit(statement, received_at, primary_only=read_write)
+        admitted = await self._admit(
+            statement, received_at, primary_only=read_write, transaction=True
+        )
         if isinstance(admitted, result.Failure):
             return statements.CallerAnswer(refusal=admitted.failure())
         self._transaction = Transaction(operation=admitted.unwrap(), begin=statement)
@@ -204,7 +208,7 @@
         if transaction is None:
             return self._refuse(statements.Code.MALFORMED, "no transaction is open", "session")
         self._transaction = None
-        await self._release_connection(transaction, statement.id)
+        self._release_connection(transaction)
         return statements.CallerAnswer()
 
     async def _commit(
@@ -215,7 +219,7 @@
             return self._refuse(statements.Code.MALFORMED, "no transaction is open", "session")
         if transaction.failed:
             self._transaction = None
-            await self._release_connection(transaction)
+            self._release_connection(transaction)
             return self._refuse(
                 statements.Code.ABORTED, "the transaction failed earlier", "session"
             )
@@ -224,11 +228,11 @@
             refused = self._renew_lease(transaction)
         if refused is not None:
             self._transaction = None
-            await self._release_connection(transaction)
+            self._release_connection(transaction)
             return statements.CallerAnswer(refusal=refused)
         answer = await self._send_on_connection(transaction, statement, statement.text, received_at)
         self._transaction = None
-        await self._release_connection(transaction)
+        self._release_connection(transaction)
         return answer
 
     def _renew_lease(self, transaction: Transaction) -> errors.Refusal | None:
@@ -258,14 +262,14 @@
         shapes = self._prepared_shapes(statement)
         refused = await self._ensure_connection(transaction, shapes, received_at)
         if refused is not None:
-            await self._fail_transaction(transaction)
+            self._fail_transaction(transaction)
             return statements.CallerAnswer(refusal=refused)
         transaction.wrote = transaction.wrote or self._is_write(statement)
         placement = transaction.placement
         text = self._target_text(statement, placement)
         answer = await self._send_on_connection(transaction, statement, text, received_at)
         if answer.refusal is not None:
-            await self._fail_transaction(transaction)
+            self._fail_transaction(transaction)
         return answer
 
     async def _ensure_connection(
@@ -328,7 +332,8 @@
         if isinstance(answer, errors.TargetError):
             if not is_commit:
                 return self._lost_answer(answer, attempt)
-            code = statements.Code.INDOUBT if transaction.wrote else statements.Code.ABORTED
+            unknown = transaction.wrote and answer.sent
+            code = statements.Code.INDOUBT if unknown else statements.Code.ABORTED
             self._log(attempt, code, str(answer))
             return self._refuse(code, str(answer), answer.step, answer.peer)
         if answer.code:
@@ -342,7 +347,7 @@
         self, statement: statements.Statement, received_at: float
     ) -> statements.CallerAnswer:
         writes = self._is_write(statement)
-        admitted = await self._admit(statement, received_at, primary_only=writes)
+        admitted = await self._admit(statement, received_at, primary_only=writes, transaction=False)
         if isinstance(admitted, result.Failure):
             return statements.CallerAnswer(refusal=admitted.failure())
         operation = admitted.unwrap()
@@ -394,10 +399,11 @@
             placement.pool.release(placement.connection)
         if isinstance(answer, statements.TargetAnswer):
             if answer.code == statements.Code.NO_STATEMENT:
-                placement.connection.prepared_statements.clear()
+                placement.connection.forget_prepared()
             return self._interpret_answer(answer, attempt)
         refused = self._lost_answer(answer, attempt)
-        return refused, not writes and answer.code != statements.Code.TIMEOUT
+        retry = not writes and answer.code != statements.Code.TIMEOUT
+        return refused, retry or not answer.sent
 
     def _interpret_answer(
         self,
@@ -447,6 +453,7 @@
                 text,
                 timeout=max(0.0, deadline - sent_at),
                 after=after,
+                errors_matter=is_write,
             )
         except errors.TargetError as error:
             executor.record_failure(placement, error, sent_at)
@@ -531,30 +538,19 @@
             return result.Failure(refused)
         return result.Success(placement)
 
-    async def _fail_transaction(self, transaction: Transaction) -> None:
+    def _fail_transaction(self, transaction: Transaction) -> None:
         transaction.failed = True
-        await self._release_connection(transaction)
+        self._release_connection(transaction)
 
-    async def _release_connection(self, transaction: Transaction, statement_id: str = "") -> None:
+    def _release_connection(self, transaction: Transaction) -> None:
         """Release the connection of a transaction.
 
-        With the id of a ``ROLLBACK`` statement, it is rolled back first. The pool closes a
-        connection whose transaction is still open.
+        The pool closes it if the transaction is still open, and the target rolls back. The answer
+        to ``ROLLBACK`` would not do: a repeated answer to an earlier statement looks the same.
         """
         placement, transaction.placement = transaction.placement, None
-        if placement is None:
-            return
-        connection = placement.connection
-        try:
-            if statement_id and not connection.closed:
-                await connection.run(statement_id, "ROLLBACK", timeout=ROLLBACK_TIMEOUT)
-        except errors.TargetError as error:
-            logger.info(
-                "ROLLBACK failed; the connection is closed",
-                extra={"peer": error.peer, "reason": str(error)},
-            )
-        finally:
-            placement.pool.release(connection)
+        if placement is not None:
+            placement.pool.release(placement.connection)
 
     def _prepared_shapes(self, statement: statements.Statement) -> tuple[str, ...]:
         if statement.kind is not statements.Kind.EXECUTE:
@@ -568,7 +564,7 @@
         """
         if statement.kind is not statements.Kind.EXECUTE:
             return statement.text
-        name = placement.connection.prepared_statements[self._prepared[statement.name]]
+        name = placement.connection.prepared_name(self._prepared[statement.name])
         return f"EXECUTE {name} {statement.arguments}"
 
     def _is_write(self, statement: statements.Statement) -> bool:
