--- a/tests/test_platform/test_texts.py
+++ b/tests/test_platform/test_texts.py
@@ -171,3 +171,18 @@
         assert await caller.read_line() == ""
     await _succeed(other, "WRITE item data")
     assert [run.text for run in _runs(fleet)] == ["WRITE item data"]
+
+
+@pytest.mark.parametrize(
+    "row",
+    ["d" * (2**20 + 1), "x\r\nHELLO", "x\r\n", "x\r\nCOMPLETE -\r\nREADY X -"],
+    ids=["too-long", "no-message", "empty-line", "unknown-state"],
+)
+async def test_invalid_line_of_a_target_fails_one_statement(fleet, row):
+    """Guards against an invalid line of a target that reaches a caller or the next statement."""
+    caller = await _open(fleet)
+    fleet.group.targets["t-1"].log.append((1, "broken", row))
+    lines, state = await caller.run("READ broken")
+    assert (len(lines), state) == (1, "I") and lines[0].startswith("ERROR "), lines[0][:80]
+    for _ in range(3):
+        assert await _succeed(caller, "READ item") != lines
