Test sessions that set values and prepare shapes often

Guards against protection from repeated answers that wears a connection out: with commands added after each earlier answer without a signature, their number doubles with each new shape.

--- a/tests/test_platform/test_repeated_answers.py
+++ b/tests/test_platform/test_repeated_answers.py
@@ -77,7 +77,7 @@
 class _Script:
     """One session that sends given statements and records their answers.
 
-    ``{}`` in a statement stands for a new value.
+    ``{}`` in a statement stands for a new value; the ledger records those that are written.
     """
 
     def __init__(self, *, fleet: entry_fleet.Fleet, run_ledger: ledger.Ledger) -> None:
@@ -100,7 +100,7 @@
                 self._operation, self._values = f"transaction-{self._number}", []
             self._number += 1
             value = f"c0-{self._number}"
-            if "{}" in text:
+            if text.startswith("WRITE "):
                 self._values.append(value)
             _, state, code = await self._client.send(
                 self._session, text.format(value), self._operation
@@ -233,3 +233,25 @@
     log = {data for *_, data in targets["t-3"].log}
     assert {write.value for write in run_ledger.acknowledged} <= log
     assert not run_ledger.failures
+
+
+SET_UPS = {
+    "shapes": ("PREPARE s READ q{}", "EXECUTE s i"),
+    "values": ("SET a v{}", "READ i"),
+    "shapes-and-values": ("PREPARE s READ q{}", "SET a v{}", "EXECUTE s i", "READ i"),
+    "values-in-a-transaction": ("BEGIN", *("READ i", "SET a v{}") * 5, "COMMIT"),
+    "shapes-in-a-transaction": ("BEGIN", *("PREPARE s READ q{}", "EXECUTE s i") * 5, "COMMIT"),
+    "transactions": ("PREPARE s READ q{}", "BEGIN", "EXECUTE s i", "SET a v{}", "READ i", "COMMIT"),
+}
+
+
+@pytest.mark.parametrize("texts", SET_UPS.values(), ids=SET_UPS)
+async def test_session_that_is_set_up_often_is_served(fleet, run_ledger, texts):
+    """Guards against a connection that refuses all statements, as it was set up often before."""
+    script = _Script(fleet=fleet, run_ledger=run_ledger)
+    await script.open()
+    for _ in range(40):
+        await script.run(*texts)
+    violations = run_ledger.violations(fleet.group, ())
+    assert not violations, violations
+    assert run_ledger.codes == {"ok": 40 * len(texts)}
