Send unusual texts and repeat answers in the soak

Clients now draw items, values, session values and shapes with unusual characters at their end or within, and each row is compared with the value that was written to the item.

--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -6,7 +6,7 @@
 from collections import abc
 
 from soak import ledger
-from support import entry_fleet
+from support import entry_fleet, texts
 
 DATABASES = ("db_primary", "db_bounded_staleness", "db_read_your_writes")
 
@@ -15,6 +15,7 @@
 RESPONSE_TIMEOUT = 8.0
 MAX_PAUSE = 0.15  # seconds between operations
 PLACES = ("north", "south")
+UNUSUAL_SHARE = 0.2  # of items, values and shapes, which end with or contain unusual characters
 
 
 class Client:
@@ -43,9 +44,16 @@
 
     def _new_item(self) -> None:
         """Use a new item, since a late write of unknown outcome could reorder the old one."""
-        self._item = f"{self._name}.{self._number}"
+        tail = self._tail()
+        self._item = f"{self._name}.{self._number}{'' if ' ' in tail else tail}"
         self._items.append(self._item)
 
+    def _tail(self) -> str:
+        """Return unusual characters for the end of a field, or at times for its middle."""
+        if self._rng.random() >= UNUSUAL_SHARE:
+            return ""
+        return self._rng.choice(texts.PIECES) + self._rng.choice(("", "y"))
+
     async def run(self) -> None:
         """Open sessions and use them until cancelled."""
         while True:
@@ -124,22 +132,25 @@
         own = signature.endswith(f".{statement_id}") if signed else signature == "-"
         if not own or len(lines) != 1 + (word == "READ"):
             self._run_ledger.failures.append(
-                f"MIXED: {sent.text} got the response of another statement: {lines}"
+                f"MIXED: {sent.text!r} got the response of another statement: {lines}"
             )
 
     async def _set_up(self, session: entry_fleet.Caller) -> None:
-        place = self._rng.choice(PLACES)
+        place = self._rng.choice(PLACES) + self._tail()
         _, _, code = await self.send(session, f"SET place {place}")
         if code:
             raise ConnectionError(code)
         name = f"s{self._rng.randrange(3)}"
-        _, _, code = await self.send(session, f"PREPARE {name} WRITE q{self._rng.randrange(4)}")
+        shape = f"WRITE q{self._rng.randrange(4)}{self._tail()}"
+        _, _, code = await self.send(session, f"PREPARE {name} {shape}")
         if code:
             raise ConnectionError(code)
 
     def _next_value(self) -> str:
         self._number += 1
-        return f"{self._name}-{self._number}"
+        value = f"{self._name}-{self._number}{self._tail()}"
+        self._run_ledger.written[value] = self._item
+        return value
 
     def _write_text(self, value: str) -> str:
         if self._prepared and self._rng.random() < 0.5:
@@ -166,7 +177,7 @@
                 self._run_ledger.acknowledged.append(
                     ledger.AcknowledgedWrite(
                         item=self._item,
-                        number=int(value.rpartition("-")[2]),
+                        number=ledger.value_number(value),
                         value=value,
                         at=time.monotonic(),
                         session=f"{self._name}/{self._sessions}",
@@ -179,11 +190,13 @@
         item = self._rng.choice([self._item, self._rng.choice(self._items)])
         lines, _, code = await self.send(session, f"READ {item}", operation)
         if not code:
-            number = lines[0].rpartition("-")[2]
+            value = lines[0].removeprefix("ROW ")
+            if value != "none" and self._run_ledger.written.get(value) != item:
+                self._run_ledger.failures.append(f"MIXED: READ {item!r} got {value!r}")
             self._run_ledger.reads.append(
                 ledger.SuccessfulRead(
                     item=item,
-                    number=int(number) if number.isdigit() else -1,
+                    number=ledger.value_number(value),
                     began_at=began_at,
                     database="db_primary" if operation else database,
                     session=f"{self._name}/{self._sessions}",
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -241,6 +241,26 @@
     target.delay = 0.0
 
 
+async def repeat_target_answers(world: "world_module.World", rng: random.Random) -> None:
+    """Make targets send some answers a second time, at once or later."""
+    longest = rng.choice((0.0, 0.015, 0.2, 1.0))
+    for target in world.fleet.group.targets.values():
+        target.repeat_delay = (0.0, longest)
+        target.repeat_share = rng.choice((0.01, 0.1, 0.3))
+    await asyncio.sleep(rng.uniform(0.5, 4.0))
+    for target in world.fleet.group.targets.values():
+        target.repeat_share = 0.0
+
+
+async def refuse_statements(world: "world_module.World", rng: random.Random) -> None:
+    """Make targets refuse some statements, among them those that set up a connection."""
+    for target in world.fleet.group.targets.values():
+        target.refuse_share = rng.choice((0.01, 0.1))
+    await asyncio.sleep(rng.uniform(0.5, 4.0))
+    for target in world.fleet.group.targets.values():
+        target.refuse_share = 0.0
+
+
 async def stop_replication(world: "world_module.World", rng: random.Random) -> None:
     """Pause the replication to one replica."""
     group = world.fleet.group
@@ -286,3 +306,7 @@
     stop_replication,
     change_configuration,
 )
+
+# Faults of the targets' answers. A run draws them from a source of their own, so that the other
+# faults of a seed stay as they were before these existed.
+ANSWERS: tuple[Fault, ...] = (repeat_target_answers, refuse_statements)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -1,7 +1,8 @@
 """Records the responses that clients got, and checks them against what the targets ran.
 
-Each write has a unique value, ``CLIENT-NUMBER`` with rising numbers, and only one client writes
-to an item. So the value that a read returns identifies the writes that the target's log contained.
+Each write has a unique value, ``CLIENT-NUMBER`` with rising numbers and at times more characters
+behind them, and only one client writes to an item. So the value that a read returns identifies the
+writes that the target's log contained.
 """
 
 import bisect
@@ -77,6 +78,7 @@
 
     Attributes:
         sent: Statements by id.
+        written: Item by value, for all writes.
         acknowledged: Acknowledged writes.
         rejected: Error code by value, for writes that must not be in the log.
         reads: Successful reads.
@@ -88,6 +90,7 @@
     def __init__(self, *, rates: abc.Mapping[str, tuple[float, float]]) -> None:
         self._rates = rates
         self.sent: dict[str, SentStatement] = {}
+        self.written: dict[str, str] = {}
         self.acknowledged: list[AcknowledgedWrite] = []
         self.rejected: dict[str, str] = {}
         self.reads: list[SuccessfulRead] = []
@@ -115,22 +118,22 @@
             for run in target.runs:
                 if run.statement_id in self.unanswered:
                     text = self.sent[run.statement_id].text
-                    yield f"LOST: {text} ran at {run.at:.3f}, and its connection ended"
+                    yield f"LOST: {text!r} ran at {run.at:.3f}, and its connection ended"
 
     def _writes(
         self, log_counts: collections.Counter[str], group: line_target.LineGroup
     ) -> abc.Iterator[str]:
         for value, count in log_counts.items():
             if count > 1:
-                yield f"TWICE: {value} is {count} times in the log"
+                yield f"TWICE: {value!r} is {count} times in the log"
         for write in self.acknowledged:
             if write.value not in log_counts and write.value not in group.rolled_back:
-                yield f"LOST: {write.value} is not in the log, acknowledged at {write.at:.3f}"
+                yield f"LOST: {write.value!r} is not in the log, acknowledged at {write.at:.3f}"
             if write.value in group.outdated:
-                yield f"OLD PRIMARY: {write.value} was acknowledged after another was promoted"
+                yield f"OLD PRIMARY: {write.value!r} was acknowledged after another was promoted"
         for value, code in self.rejected.items():
             if value in log_counts:
-                yield f"REFUSED: {value} was rejected with {code} and is in the log"
+                yield f"REFUSED: {value!r} was rejected with {code} and is in the log"
 
     def _reads(self, rolled_back: abc.Container[str]) -> abc.Iterator[str]:
         by_item: dict[str, list[AcknowledgedWrite]] = collections.defaultdict(list)
@@ -186,6 +189,12 @@
     return math.inf if own and write.at < read.began_at else read.began_at - MAX_STALENESS
 
 
+def value_number(value: str) -> int:
+    """Return the number in a written value, or -1 if there is none."""
+    found = re.match(r"c[0-9]+-([0-9]+)", value)
+    return int(found[1]) if found else -1
+
+
 def _arguments(text: str) -> str:
     """Return a statement without its prepared statement's name, which the proxy may change."""
     return re.sub(r"^EXECUTE \S+", "EXECUTE", text)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -88,7 +88,13 @@
             await self._start(stack)
             client_tasks = [asyncio.create_task(client.run()) for client in self._clients()]
             try:
-                await asyncio.gather(self._inject(seconds), self._restore(seconds))
+                await asyncio.gather(
+                    self._inject(
+                        seconds, self._rng, faults.PLANNED if self._planned else faults.ALL
+                    ),
+                    self._inject_answers(seconds),
+                    self._restore(seconds),
+                )
                 await self._recover()
             finally:
                 for task in client_tasks:
@@ -144,15 +150,24 @@
             for number in range(CLIENTS)
         ]
 
-    async def _inject(self, seconds: float) -> None:
+    async def _inject_answers(self, seconds: float) -> None:
+        """Make targets repeat answers and refuse statements, unless all work is planned."""
+        for target in self.fleet.group.targets.values():
+            target.seed(self._seed)
+        if not self._planned:
+            await self._inject(seconds, random.Random(f"answers {self._seed}"), faults.ANSWERS)
+
+    async def _inject(
+        self, seconds: float, rng: random.Random, drawn: tuple[faults.Fault, ...]
+    ) -> None:
         """Start faults at random times, and wait until all of them have ended."""
         began_at = time.monotonic()
         running: set[asyncio.Task[None]] = set()
         while time.monotonic() - began_at < seconds:
-            await asyncio.sleep(self._rng.expovariate(1 / MEAN_FAULT_INTERVAL))
-            fault = self._rng.choice(faults.PLANNED if self._planned else faults.ALL)
+            await asyncio.sleep(rng.expovariate(1 / MEAN_FAULT_INTERVAL))
+            fault = rng.choice(drawn)
             self._started.append((round(time.monotonic() - began_at, 2), fault.__name__))
-            running.add(asyncio.create_task(fault(self, random.Random(self._rng.random()))))
+            running.add(asyncio.create_task(fault(self, random.Random(rng.random()))))
         await asyncio.gather(*running)
 
     async def _restore(self, seconds: float) -> None:
--- a/tests/test_platform/test_texts.py
+++ b/tests/test_platform/test_texts.py
@@ -5,32 +5,12 @@
 
 import pytest
 
-from support import entry_fleet, line_target
+from support import entry_fleet, line_target, texts
 
 KEYS = {"one": ["key-one"], "two": ["key-two"]}
 
-# Each is sent at the end of a field and within it. The lone LF is part of the field; what follows
-# it must not be taken for a message. Surrogate escapes stand for bytes that are not UTF-8.
-PIECES = (
-    "\r",
-    "\r\r",
-    "\n",
-    "\n\r",
-    "\nQUERY smuggled WRITE stolen z",
-    "\v",
-    "\f",
-    "\x1c",
-    "\x85",
-    "\u2028",
-    "\0",
-    "\t",
-    " ",
-    "  ",
-    "\udcff\udcfe",
-    "\udce2\udc82",
-    "é\U0001f600",
-)
-FIELDS = ("", *(text for piece in PIECES for text in (f"x{piece}", f"x{piece}y", piece)))
+# Each piece is at the end of a field, within it, and the whole field.
+FIELDS = ("", *(text for piece in texts.PIECES for text in (f"x{piece}", f"x{piece}y", piece)))
 
 NEARLY_A_MIB = 2**20 - 200
 
@@ -72,8 +52,8 @@
     for text in sent:
         await _succeed(caller, text)
     prepared = template.startswith("EXECUTE")  # the target knows it by another name
-    texts = [run.text.split(" ", 2)[2] if prepared else run.text for run in _runs(fleet)]
-    assert texts == [text.split(" ", 2)[2] if prepared else text for text in sent]
+    ran = [run.text.split(" ", 2)[2] if prepared else run.text for run in _runs(fleet)]
+    assert ran == [text.split(" ", 2)[2] if prepared else text for text in sent]
 
 
 async def test_session_value_is_set_as_it_was_sent(fleet):
