--- a/tests/test_soak/test_soak.py
+++ b/tests/test_soak/test_soak.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak import world
+from soak import faults, world
 from support import entry_fleet
 
 SECONDS = 8.0  # seconds of faults in a run
@@ -47,6 +47,20 @@
     assert report.codes["ok"] > 100
 
 
+@pytest.mark.parametrize("seed", [3600])
+async def test_promises_hold_with_repeated_answers_and_unusual_texts(seed, tmp_path):
+    """Guards against answers of other statements, and texts cut at their ends, under other faults.
+
+    Targets send answers twice and refuse statements while processes, targets and the store fail.
+    """
+    report = await world.World(folder=tmp_path, seed=seed, size=4).run(SECONDS)
+    assert not report.violations, report
+    assert report.codes["ok"] > 100
+    drawn = {name for _, name in report.faults}
+    assert {fault.__name__ for fault in faults.ANSWERS} <= drawn
+    assert len(drawn) > len(faults.ANSWERS)
+
+
 def test_listeners_use_ports_that_outgoing_connections_do_not():
     """Guards against an outgoing connection that takes a listener's port before it is bound."""
     text = pathlib.Path("/proc/sys/net/ipv4/ip_local_port_range").read_text(encoding="ascii")
