Send each call to the store and the platform on its own connection

Cause: a response to HTTP/1.1 names no request, and the client used its connections again. A response that came twice, at once, later while the connection was idle, or after the next request was sent, counted as the response to the next call. So a rejected conditional write or order could pass for accepted, and a read or watch could return rows of another call.

Change: one connection for each call, closed after its response, so that any response on it belongs to its only request. Nothing in a response of the store would tell a repeated one for sure, and the calls to change a primary return nothing at all.

The test for connections that fall silent asserted that a call is sent on one of them, which no longer happens. It now silences the connection of that call, too; the guarded failure and the assertions stay.

--- a/src/greengageshunt/stores/connection.py
+++ b/src/greengageshunt/stores/connection.py
@@ -1,4 +1,8 @@
-"""HTTP/1.1 client with persistent connections, with ``h11`` as the codec."""
+"""HTTP/1.1 client with a connection for each call, with ``h11`` as the codec.
+
+A response carries nothing that names its request. On a connection that is used again, a repeated
+response would count as that to the next request, such as the success of a write that failed.
+"""
 
 import asyncio
 import dataclasses
@@ -9,9 +13,6 @@
 
 READ_SIZE = 65536  # bytes
 
-# Idle connections that an ``HttpClient`` keeps open for later calls.
-IDLE_CONNECTION_LIMIT = 6
-
 # Milliseconds after which the kernel closes a connection whose sent data is not acknowledged.
 TCP_USER_TIMEOUT_MS = 2000
 
@@ -45,60 +46,41 @@
     body: bytes
 
 
-class _Connection:
-    """One connection and the state of its ``h11`` codec."""
-
-    def __init__(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._reader = reader
-        self._writer = writer
-        self._protocol = h11.Connection(h11.CLIENT)
-
-    @property
-    def reusable(self) -> bool:
-        return (
-            self._protocol.our_state is h11.IDLE
-            and not self._reader.at_eof()
-            and not self._writer.is_closing()
-        )
-
-    async def exchange(self, request: h11.Request, body: bytes) -> Response:
-        data = self._protocol.send(request) or b""
-        if body:
-            data += self._protocol.send(h11.Data(data=body)) or b""
-        data += self._protocol.send(h11.EndOfMessage()) or b""
-        self._writer.write(data)
-        await self._writer.drain()
-        status, headers, chunks = 0, {}, []
-        while True:
-            event = self._protocol.next_event()
-            if event is h11.NEED_DATA:
-                self._protocol.receive_data(await self._reader.read(READ_SIZE))
-            elif isinstance(event, h11.Response):
-                status = event.status_code
-                headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
-            elif isinstance(event, h11.Data):
-                chunks.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                break
-            elif isinstance(event, h11.ConnectionClosed):
-                raise ConnectionResetError("connection closed before the end of the response")
-        if self._protocol.our_state is h11.DONE and self._protocol.their_state is h11.DONE:
-            self._protocol.start_next_cycle()
-        return Response(status=status, headers=headers, body=b"".join(chunks))
-
-    def abort(self) -> None:
-        self._writer.transport.abort()
+async def _exchange(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter, request: h11.Request, body: bytes
+) -> Response:
+    """Send the only request of a connection and return its response."""
+    protocol = h11.Connection(h11.CLIENT)
+    data = protocol.send(request) or b""
+    if body:
+        data += protocol.send(h11.Data(data=body)) or b""
+    data += protocol.send(h11.EndOfMessage()) or b""
+    writer.write(data)
+    await writer.drain()
+    status, headers, chunks = 0, {}, []
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(await reader.read(READ_SIZE))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+            headers = {name.decode(): value.decode("latin-1") for name, value in event.headers}
+        elif isinstance(event, h11.Data):
+            chunks.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            return Response(status=status, headers=headers, body=b"".join(chunks))
+        elif isinstance(event, h11.ConnectionClosed):
+            raise ConnectionResetError("connection closed before the end of the response")
 
 
 class HttpClient:
-    """Client of one HTTP server, which reuses its connections."""
+    """Client of one HTTP server."""
 
     def __init__(self, *, address: str) -> None:
         self._address = address
         host, _, port = address.rpartition(":")
         self._host = host
         self._port = int(port)
-        self._idle_connections: list[_Connection] = []
 
     @property
     def address(self) -> str:
@@ -129,50 +111,34 @@
             CallError: The call timed out, the connection failed, or the request may no longer be
                 sent.
         """
-        header_lines = [("Host", self._address), ("Content-Length", str(len(body)))]
+        header_lines = [
+            ("Host", self._address),
+            ("Connection", "close"),
+            ("Content-Length", str(len(body))),
+        ]
         if body:
             header_lines.append(("Content-Type", "application/json"))
         header_lines.extend((headers or {}).items())
         request = h11.Request(method=method, target=path, headers=header_lines)
-        connection: _Connection | None = None
+        writer: asyncio.StreamWriter | None = None
         sent = False
         try:
             async with asyncio.timeout(timeout):
-                connection = await self._get_connection()
+                reader, writer = await self._connect()
                 if not may_send():
-                    connection.abort()
                     raise CallError(f"{method} {path}: may no longer be sent", sent=False)
                 sent = True
-                response = await connection.exchange(request, body)
+                return await _exchange(reader, writer, request, body)
         except (OSError, TimeoutError, h11.ProtocolError) as error:
-            if connection is not None:
-                connection.abort()
-            # The server may have stopped answering on the other connections, too.
-            self._abort_idle_connections()
             reason = str(error) or type(error).__name__
             raise CallError(f"{method} {path.partition('?')[0]}: {reason}", sent=sent) from error
-        except asyncio.CancelledError:
-            if connection is not None:
-                connection.abort()
-            raise
-        if connection.reusable and len(self._idle_connections) < IDLE_CONNECTION_LIMIT:
-            self._idle_connections.append(connection)
-        else:
-            connection.abort()
-        return response
-
-    def _abort_idle_connections(self) -> None:
-        while self._idle_connections:
-            self._idle_connections.pop().abort()
-
-    async def _get_connection(self) -> _Connection:
-        while self._idle_connections:
-            connection = self._idle_connections.pop()
-            if connection.reusable:
-                return connection
-            connection.abort()
+        finally:
+            if writer is not None:
+                writer.transport.abort()
+
+    async def _connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         async with asyncio.timeout(CONNECT_TIMEOUT):
             reader, writer = await asyncio.open_connection(self._host, self._port)
         tcp_socket = writer.get_extra_info("socket")
         tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-        return _Connection(reader=reader, writer=writer)
+        return reader, writer
--- a/tests/test_platform/test_connection.py
+++ b/tests/test_platform/test_connection.py
@@ -1,6 +1,7 @@
-"""HTTP client with persistent connections."""
+"""HTTP client with a connection for each call."""
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -25,7 +26,7 @@
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 
 
-async def test_a_missing_answer_closes_the_idle_connections():
+async def test_call_after_a_missing_answer_is_not_sent_on_a_silent_connection():
     """Guards against calls on further connections that fell silent together with the first."""
     served = _Server()
     server = await asyncio.start_server(served.serve, "127.0.0.1", 0)
@@ -33,9 +34,50 @@
     client = connection.HttpClient(address=f"{host}:{port}")
     await asyncio.gather(*(client.call("GET", "/", timeout=2.0) for _ in range(3)))
     assert served.opened == 3
-    served.silent = {1, 2, 3}
+    served.silent = {1, 2, 3, 4}
     with pytest.raises(connection.CallError):
         await client.call("GET", "/", timeout=0.1)
     answer = await client.call("GET", "/", timeout=2.0)
     assert answer.status == 200
     server.close()
+
+
+class _RepeatingServer:
+    """Responds with the path of each request, and repeats each response on its connection.
+
+    Args:
+        moment: When a response is repeated: ``at once``, ``while idle`` or ``before the next``.
+    """
+
+    def __init__(self, moment: str) -> None:
+        self._moment = moment
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        earlier = b""
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                path = (await reader.readuntil(b"\r\n\r\n")).split(b" ")[1]
+                response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(path) + path
+                if self._moment == "before the next":
+                    writer.write(earlier)
+                    earlier = response
+                writer.write(response * 2 if self._moment == "at once" else response)
+                if self._moment == "while idle":
+                    await asyncio.sleep(0.01)
+                    writer.write(response)
+        writer.close()
+
+
+@pytest.mark.parametrize("moment", ["at once", "while idle", "before the next"])
+async def test_repeated_response_is_not_taken_for_that_to_a_later_call(moment):
+    """Guards against the response to an earlier write or read that decides a later one."""
+    server = await asyncio.start_server(_RepeatingServer(moment).serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = connection.HttpClient(address=f"{host}:{port}")
+    bodies = []
+    for number in range(5):
+        bodies.append((await client.call("GET", f"/{number}", timeout=2.0)).body)
+        await asyncio.sleep(0.03)
+    server.close()
+    assert bodies == [b"/0", b"/1", b"/2", b"/3", b"/4"]
--- a/tests/test_platform/test_store.py
+++ b/tests/test_platform/test_store.py
@@ -20,7 +20,6 @@
     await stand_in.start(port)
     client = _client(port)
     yield stand_in, client
-    await _close(client)
     await stand_in.stop()
 
 
@@ -32,12 +31,6 @@
     return app.part("platform", "table")
 
 
-async def _close(client: store.TableStore) -> None:
-    """Close the idle connections; one that outlives its loop fails whenever it is collected."""
-    client._http_client._abort_idle_connections()
-    await asyncio.sleep(0)
-
-
 async def test_write_with_an_old_version_conflicts(store_and_client):
     """Guards against two entry VMs that both get a success for a write of the same version."""
     _, client = store_and_client
@@ -154,7 +147,6 @@
             await client.read(section)
         with pytest.raises(errors.PlatformError):
             await client.changes(section, 1, 0.0)
-    await _close(client)
     await runner.cleanup()
 
 
@@ -187,7 +179,6 @@
     with pytest.raises(errors.PlatformError) as raised:
         await client.put_row("a", {}, None)
     assert raised.value.effect_unknown
-    await _close(client)
     await runner.cleanup()
 
 
@@ -196,7 +187,6 @@
     client, runner = await _client_of(b'{"row-version": 5, "rows": [], "has-more": true}', {})
     with pytest.raises(errors.PlatformError):
         await client.read(records.Section.TARGETS)
-    await _close(client)
     await runner.cleanup()
 
 
