Send each call of the other platform client on its own connection, too

Cause: the client over aiohttp has the same fault as the one for the platform's store: a response that arrived on an idle connection, or again after the next request was sent, counted as that to the next call.

Change: its connections are closed after each response. The library then also repeats no request by itself.

The test, now for both clients, failed before for this one while idle and before the next response: the second of five reads got the row of the first.

--- a/src/greengageshunt/stores/http.py
+++ b/src/greengageshunt/stores/http.py
@@ -116,7 +116,12 @@
     ) -> tuple[int, abc.Mapping[str, str], bytes]:
         if self._session is None:
             timeout = aiohttp.ClientTimeout(total=self._timeout)
-            self._session = aiohttp.ClientSession(timeout=timeout, headers={"Vm": self._vm})
+            # As a response names no request, a repeated one would count as that to the next request
+            # on its connection.
+            connector = aiohttp.TCPConnector(force_close=True)
+            self._session = aiohttp.ClientSession(
+                connector=connector, timeout=timeout, headers={"Vm": self._vm}
+            )
         step = f"{method} {path}"
         try:
             async with self._session.request(
--- a/src/greengageshunt/stores/writes.py
+++ b/src/greengageshunt/stores/writes.py
@@ -62,8 +62,7 @@
             if hasattr(answer, "etag"):
                 return result.Success(answer)
         # After an error, the write may have taken effect, or may still do so. A conflict may
-        # come from an earlier attempt of this call, or from a request that the HTTP client
-        # repeated by itself after it lost the connection.
+        # come from an earlier attempt of this call, or from a request that arrived twice.
         outcome_unknown = True
     return result.Failure(WriteConflict(key=key))
 
--- a/tests/test_platform/test_connection.py
+++ b/tests/test_platform/test_connection.py
@@ -1,11 +1,13 @@
-"""HTTP client with a connection for each call."""
+"""HTTP clients with a connection for each call."""
 
 import asyncio
 import contextlib
+import json
+from collections import abc
 
 import pytest
 
-from greengageshunt.stores import connection
+from greengageshunt.stores import connection, http
 
 
 class _Server:
@@ -43,7 +45,7 @@
 
 
 class _RepeatingServer:
-    """Responds with the path of each request, and repeats each response on its connection.
+    """Responds with the path of each request as JSON, and repeats the response on its connection.
 
     Args:
         moment: When a response is repeated: ``at once``, ``while idle`` or ``before the next``.
@@ -57,8 +59,9 @@
         earlier = b""
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while True:
-                path = (await reader.readuntil(b"\r\n\r\n")).split(b" ")[1]
-                response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(path) + path
+                body = b'"%s"' % (await reader.readuntil(b"\r\n\r\n")).split(b" ")[1]
+                head = b'HTTP/1.1 200 OK\r\nETag: "1"\r\nContent-Length: %d\r\n\r\n' % len(body)
+                response = head + body
                 if self._moment == "before the next":
                     writer.write(earlier)
                     earlier = response
@@ -69,15 +72,38 @@
         writer.close()
 
 
+@contextlib.asynccontextmanager
+async def _product_client(address: str) -> abc.AsyncIterator[abc.Callable]:
+    client = connection.HttpClient(address=address)
+
+    async def read(key: str) -> str:
+        return json.loads((await client.call("GET", f"/rows/{key}", timeout=2.0)).body)
+
+    yield read
+
+
+@contextlib.asynccontextmanager
+async def _library_client(address: str) -> abc.AsyncIterator[abc.Callable]:
+    platform = http.HttpPlatform(address=address, vm="vm-1")
+
+    async def read(key: str) -> str:
+        row = await platform.get_row(key)
+        return row.value
+
+    yield read
+    await platform.close()
+
+
+@pytest.mark.parametrize("make_client", [_product_client, _library_client])
 @pytest.mark.parametrize("moment", ["at once", "while idle", "before the next"])
-async def test_repeated_response_is_not_taken_for_that_to_a_later_call(moment):
+async def test_repeated_response_is_not_taken_for_that_to_a_later_call(make_client, moment):
     """Guards against the response to an earlier write or read that decides a later one."""
     server = await asyncio.start_server(_RepeatingServer(moment).serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
-    client = connection.HttpClient(address=f"{host}:{port}")
-    bodies = []
-    for number in range(5):
-        bodies.append((await client.call("GET", f"/{number}", timeout=2.0)).body)
-        await asyncio.sleep(0.03)
+    values = []
+    async with make_client(f"{host}:{port}") as read:
+        for number in range(5):
+            values.append(await read(str(number)))
+            await asyncio.sleep(0.03)
     server.close()
-    assert bodies == [b"/0", b"/1", b"/2", b"/3", b"/4"]
+    assert values == [f"/rows/{number}" for number in range(5)]
