End a line of the settings file only at a line feed

Cause: the file was split at every line end of Unicode, such as U+2028 or a form feed, and each value was stripped of all Unicode white space.

Change: a line ends at LF, or CR LF; only blanks and tabs around names and values are left out.

The test failed before for each of the six characters.

--- a/src/greengageshunt/platform/settings.py
+++ b/src/greengageshunt/platform/settings.py
@@ -8,6 +8,8 @@
 # Milliseconds in the file, seconds in the product.
 _MILLISECONDS = 0.001
 
+_BLANKS = " \t"
+
 # Port of the metrics page; `metrics` in deploy/system.toml names it too.
 METRICS_PORT = 9464
 
@@ -42,6 +44,9 @@
 def decode_fields(text: str, source: str) -> dict[str, str]:
     """Return the fields of lines of the form ``a.b=value``.
 
+    A line ends at LF, or CR LF. Blanks around names and values do not count; any other white space
+    does.
+
     Args:
         text: Text of the file.
         source: Name of the file for error messages.
@@ -51,15 +56,17 @@
         SettingsError: Another line has no ``=``.
     """
     fields = {}
-    for number, line in enumerate(text.splitlines(keepends=True), start=1):
-        if not line.strip() or line.lstrip().startswith("#"):
+    lines = text.split("\n")
+    for number, line in enumerate(lines, start=1):
+        content = line.removesuffix("\r").strip(_BLANKS)
+        if not content or content.startswith("#"):
             continue
-        name, separator, value = line.partition("=")
+        name, separator, value = content.partition("=")
         if not separator:
-            terminated = line.endswith("\n")
+            terminated = number < len(lines)
             kind = errors.SettingsError if terminated else errors.IncompleteSettingsError
-            raise kind(f"{source}:{number}: expected name=value, got {line.strip()!r}")
-        fields[name.strip()] = value.strip()
+            raise kind(f"{source}:{number}: expected name=value, got {content!r}")
+        fields[name.strip(_BLANKS)] = value.strip(_BLANKS)
     return fields
 
 
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -67,6 +67,16 @@
     assert loaded["limits.slack"] == 20.0
 
 
+@pytest.mark.parametrize("end", ["\x0b", "\x0c", "\x1c", "\x85", "\xa0", "\u2028"])
+def test_line_of_the_file_ends_only_at_a_line_feed(tmp_path, end):
+    """Guards against a value that is cut at other white space, or whose rest is another field."""
+    loaded = _load(_write(tmp_path, zone=f"a{end}node-name=vm-2{end}"))
+    assert loaded["vm.failure_domain"] == f"a{end}node-name=vm-2{end}"
+    assert loaded["vm.name"] == "vm-1"
+    fields = settings.decode_fields(" a = b \r\n# c\r\n\r\nd=\r\n", "test")
+    assert fields == {"a": "b", "d": ""}
+
+
 @pytest.mark.parametrize(
     ("field", "value", "expected"),
     [
