Send header values as UTF-8, and refuse names that no header can hold

Cause: the name of an entry VM is sent in a header with each order to change a primary. With a letter outside ASCII or a control character, the HTTP codec raised an exception that no caller expects. It ended the task that changes the primary after all leases were recalled, and again with each later attempt. The codec sent no such header, so no name became a header of its own.

Change: values are sent as UTF-8; a header or path that cannot be sent is a failed call that was not sent; and the start names the field node-name if its value contains a control character.

--- a/src/greengageshunt/config.py
+++ b/src/greengageshunt/config.py
@@ -98,6 +98,14 @@
     return 'an address such as "127.0.0.1:7000"'
 
 
+def is_name(value: str) -> str | None:
+    """Return None for a name that fits into an HTTP header, or a description of valid values."""
+    has_control_character = any(ord(character) < 0x20 or character == "\x7f" for character in value)
+    if not has_control_character and value == value.strip(" "):
+        return None
+    return "a name without control characters, and without blanks at its ends"
+
+
 def is_positive(value: float) -> str | None:
     """Return None for a number above zero, or a description of valid values."""
     return None if value > 0 else "a number above 0"
--- a/src/greengageshunt/platform/settings.py
+++ b/src/greengageshunt/platform/settings.py
@@ -78,9 +78,14 @@
     return fields[name]
 
 
-def _address(fields: abc.Mapping[str, str], name: str, source: str) -> str:
+def _checked(
+    fields: abc.Mapping[str, str],
+    name: str,
+    source: str,
+    check: abc.Callable[[str], str | None],
+) -> str:
     value = _required(fields, name, source)
-    expectation = config.is_address(value)
+    expectation = check(value)
     if expectation:
         raise errors.SettingsError(
             f"{source}: {name}: expected {expectation}, got {value!r}", peer=source
@@ -125,14 +130,15 @@
     """
     address = _required(fields, "ip", source)
     values: dict[str, object] = {
-        "vm.name": _required(fields, "node-name", source),
+        # The name is sent in a header with each order to change a primary.
+        "vm.name": _checked(fields, "node-name", source, config.is_name),
         "vm.failure_domain": _required(fields, "zone", source),
         "vm.peer_address": f"{address}:{_peer_port(fields, source)}",
         "metrics.address": f"{address}:{METRICS_PORT}",
-        "sessions.address": _address(fields, "listen.front", source),
-        "readiness.address": _address(fields, "listen.ready", source),
-        "store.address": _address(fields, "platform.address", source),
-        "duties.address": _address(fields, "cloud.address", source),
+        "sessions.address": _checked(fields, "listen.front", source, config.is_address),
+        "readiness.address": _checked(fields, "listen.ready", source, config.is_address),
+        "store.address": _checked(fields, "platform.address", source, config.is_address),
+        "duties.address": _checked(fields, "cloud.address", source, config.is_address),
     }
     for key, (name, factor) in _NUMERIC_FIELDS.items():
         values[key] = _non_negative_number(fields, name, source) * factor
--- a/src/greengageshunt/stores/connection.py
+++ b/src/greengageshunt/stores/connection.py
@@ -103,26 +103,26 @@
             method: HTTP method.
             path: Path and query.
             body: Body, sent as JSON.
-            headers: Further headers.
+            headers: Further headers, sent as UTF-8.
             timeout: Seconds for the whole call, including the connection set-up.
             may_send: Whether the request may still be sent; called right before it is.
 
         Raises:
-            CallError: The call timed out, the connection failed, or the request may no longer be
-                sent.
+            CallError: The call timed out, the connection failed, a header cannot be sent, or the
+                request may no longer be sent.
         """
         header_lines = [
-            ("Host", self._address),
-            ("Connection", "close"),
-            ("Content-Length", str(len(body))),
+            ("Host", self._address.encode()),
+            ("Connection", b"close"),
+            ("Content-Length", str(len(body)).encode()),
         ]
         if body:
-            header_lines.append(("Content-Type", "application/json"))
-        header_lines.extend((headers or {}).items())
-        request = h11.Request(method=method, target=path, headers=header_lines)
+            header_lines.append(("Content-Type", b"application/json"))
+        header_lines.extend((name, text.encode()) for name, text in (headers or {}).items())
         writer: asyncio.StreamWriter | None = None
         sent = False
         try:
+            request = h11.Request(method=method, target=path, headers=header_lines)
             async with asyncio.timeout(timeout):
                 reader, writer = await self._connect()
                 if not may_send():
--- a/tests/test_platform/test_connection.py
+++ b/tests/test_platform/test_connection.py
@@ -107,3 +107,36 @@
             await asyncio.sleep(0.03)
     server.close()
     assert values == [f"/rows/{number}" for number in range(5)]
+
+
+@pytest.mark.parametrize(
+    ("value", "received"),
+    [
+        ("vm-\u00e9", "vm-\u00e9".encode()),
+        ("vm-1\r\nX-Token: 9", None),
+        ("vm-1\n", None),
+        ("vm-1 ", None),
+    ],
+)
+async def test_header_value_arrives_unchanged_or_the_call_is_not_sent(value, received):
+    """Guards against a name that ends a header, and one that ends the task of its caller."""
+    requests = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            requests.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = connection.HttpClient(address=f"{host}:{port}")
+    if received is None:
+        with pytest.raises(connection.CallError) as raised:
+            await client.call("POST", "/", headers={"Holder": value}, timeout=2.0)
+        assert not raised.value.sent
+        assert not requests
+    else:
+        await client.call("POST", "/", headers={"Holder": value}, timeout=2.0)
+        assert b"\r\nHolder: " + received + b"\r\n" in requests[0]
+    server.close()
--- a/tests/test_platform/test_settings.py
+++ b/tests/test_platform/test_settings.py
@@ -81,6 +81,7 @@
     ("field", "value", "expected"),
     [
         ("node-name", None, "node-name: missing"),
+        ("node-name", "vm-1\rX-Header: 1", "node-name: expected a name without"),
         ("listen.front", "10.1.0.2", "listen.front: expected an address"),
         ("internal-port-range", "9,8", "internal-port-range: expected two ports"),
         ("bounds.grace-s", "soon", "bounds.grace-s: expected a number"),
