Leave out targets and tenants whose name no STARTUP line can hold

Cause: the names of a target's row and of a tenant were put into the first line to a target as they are. A name with a line end became a message of its own, one with a blank another field, and one without an encoding failed each connection, which counts as a failure of the healthy target.

Change: a row of the target list with such a name or service names no target, with the usual log line and count. A tenant with such a name is left out of the configuration with a log line, so its keys are unknown; the other tenants and the rest of the configuration stay in force.

--- a/src/greengageshunt/platform/decoding.py
+++ b/src/greengageshunt/platform/decoding.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import logging
 import math
 from typing import Any
 
@@ -12,6 +13,8 @@
 from greengageshunt.configuration import keys
 from greengageshunt.coordination import records
 
+logger = logging.getLogger(__name__)
+
 _MILLISECONDS = 0.001  # seconds in a millisecond
 
 # Consistency of each value of the platform's `route-kind`.
@@ -40,6 +43,23 @@
     return value
 
 
+def _check_sendable(name: str) -> None:
+    """Check that a name can be a field of the first line to a target.
+
+    Otherwise no connection under this name could be opened, which would look like a target that
+    cannot be reached.
+
+    Raises:
+        DecodeError: The name would end its field or its line, or has no encoding.
+    """
+    if not name or " " in name or "\r\n" in name:
+        raise DecodeError(f"expected a name without a blank or line end, got {name!r}")
+    try:
+        name.encode()
+    except UnicodeEncodeError as error:
+        raise DecodeError(f"expected a name in Unicode, got {name!r}") from error
+
+
 def _number(document: Any, name: str, default: float | None = None) -> float:
     """Return a finite number of at least 0; ``default`` replaces a missing one."""
     if default is not None and isinstance(document, dict) and document.get(name) is None:
@@ -105,27 +125,37 @@
     )
 
 
+def _decode_tenant(tenant: Any) -> tuple[model.ClientAccount, list[model.Key]]:
+    account = model.ClientAccount(
+        name=_field(tenant, "name", str),
+        weight=1.0,
+        rate=_number(tenant, "rate-per-s"),
+        burst=_number(tenant, "burst"),
+    )
+    # The platform's keys have no public part, so a prefix of the digest is the id.
+    digests = [keys.sha256_hex(key) for key in _objects(tenant, "api-keys")]
+    return account, [
+        model.Key(key_id=digest[:16], account=account.name, digest=digest) for digest in digests
+    ]
+
+
 def decode_configuration(document: Any) -> model.Configuration:
-    """Decode the row ``op/config``.
+    """Decode the row ``op/config``, without tenants whose name cannot be sent to targets.
 
     Raises:
         DecodeError: A field is missing or malformed.
     """
     accounts, account_keys = [], []
     for tenant in _objects(document, "tenants"):
-        name = _field(tenant, "name", str)
-        accounts.append(
-            model.ClientAccount(
-                name=name,
-                weight=1.0,
-                rate=_number(tenant, "rate-per-s"),
-                burst=_number(tenant, "burst"),
-            )
-        )
-        for key in _objects(tenant, "api-keys"):
-            # The platform's keys have no public part, so a prefix of the digest is the id.
-            digest = keys.sha256_hex(key)
-            account_keys.append(model.Key(key_id=digest[:16], account=name, digest=digest))
+        account, tenant_keys = _decode_tenant(tenant)
+        try:
+            _check_sendable(account.name)
+        except DecodeError as error:
+            fields = {"tenant": account.name, "reason": str(error)}
+            logger.warning("tenant left out", extra=fields)
+            continue
+        accounts.append(account)
+        account_keys.extend(tenant_keys)
     limits = document.get("limits") or {}
     return model.Configuration(
         version=_field(document, "version", int),
@@ -156,13 +186,16 @@
     Raises:
         DecodeError: A field is missing or malformed; the row defines no target.
     """
+    group = _field(document, "service", str)
+    _check_sendable(name)
+    _check_sendable(group)
     address = _field(document, "address", str)
     expectation = config.is_address(address)
     if expectation:
         raise DecodeError(f"address: expected {expectation}, got {address!r}")
     return records.TargetEntry(
         target=name,
-        group=_field(document, "service", str),
+        group=group,
         address=address,
         failure_domain=_field(document, "zone", str),
         slots=_field(document, "slots", int),
