Encode keys in the paths of the platform client over HTTP

Cause: keys of rows and names of objects, with names of groups in them, were put into paths and queries as they are. A question mark, number sign, ampersand or segment of dots in a name led to the row of another key, which could then be read or written in its place.

Change: each key is one percent-encoded segment, each prefix one value.

A key with a line feed is not in the test: the stand-in has no route for one.

--- a/src/greengageshunt/stores/http.py
+++ b/src/greengageshunt/stores/http.py
@@ -1,6 +1,7 @@
 """Client of the platform over HTTP, with conditional writes by ETag and If-Match."""
 
 import json
+import urllib.parse
 from collections import abc
 from typing import Any
 
@@ -41,7 +42,7 @@
         Raises:
             PlatformError: The platform did not answer.
         """
-        status, headers, body = await self._request("GET", f"/rows/{key}")
+        status, headers, body = await self._request("GET", f"/rows/{_quote(key)}")
         if status == 404:
             return None
         return rows.Row(key=key, value=json.loads(body), etag=headers["ETag"])
@@ -60,7 +61,7 @@
         """
         condition = {"If-None-Match": "*"} if etag is None else {"If-Match": etag}
         status, headers, _ = await self._request(
-            "PUT", f"/rows/{key}", data=json.dumps(value), headers=condition
+            "PUT", f"/rows/{_quote(key)}", data=json.dumps(value), headers=condition
         )
         if status == 412:
             return rows.Conflict(key=key)
@@ -72,7 +73,7 @@
         Raises:
             PlatformError: The platform did not answer.
         """
-        _, _, body = await self._request("GET", f"/rows?prefix={prefix}")
+        _, _, body = await self._request("GET", f"/rows?prefix={_quote(prefix)}")
         return tuple(rows.Row(**row) for row in json.loads(body))
 
     async def get_object(self, name: str) -> bytes | None:
@@ -81,7 +82,7 @@
         Raises:
             PlatformError: The platform did not answer.
         """
-        status, _, body = await self._request("GET", f"/objects/{name}")
+        status, _, body = await self._request("GET", f"/objects/{_quote(name)}")
         return None if status == 404 else body
 
     async def put_object(self, name: str, data: bytes) -> None:
@@ -90,7 +91,7 @@
         Raises:
             PlatformError: The platform did not answer; the write may have taken effect.
         """
-        await self._request("PUT", f"/objects/{name}", data=data)
+        await self._request("PUT", f"/objects/{_quote(name)}", data=data)
 
     async def list_vms(self) -> tuple[model.Member, ...]:
         """Return the platform's list of entry VMs, which lags behind the actual ones.
@@ -145,6 +146,11 @@
         return response.status, response.headers, body
 
 
+def _quote(text: str) -> str:
+    """Return a key as one segment of a path, or as a value of a query."""
+    return urllib.parse.quote(text, safe="")
+
+
 def setup(app: application.Application) -> None:
     """Register the HTTP platform client."""
     app.add_setting(
