Recognize the own promoter name of entry VMs with a number sign in theirs

Cause: the name of a promoter is the name of its entry VM, a number sign and a random part, and was split at the first number sign. An entry VM with one in its own name took its own promotion for that of another one.

Change: it is split at the last one; the random part has none.

The test failed before for the name rack#2.

--- a/src/greengageshunt/failover/detection.py
+++ b/src/greengageshunt/failover/detection.py
@@ -118,7 +118,7 @@
 
 def promoter_vm(promoter: str) -> str:
     """Return the entry VM of a promoter."""
-    return promoter.partition("#")[0]
+    return promoter.rpartition("#")[0]
 
 
 def reachable(view: GroupView, now: float) -> tuple[model.TargetStatus, ...]:
--- a/tests/test_failover/test_decisions.py
+++ b/tests/test_failover/test_decisions.py
@@ -133,3 +133,9 @@
     chosen = watch.watchers(world.record, tuple(members))
     domains = {member.failure_domain for member in members if member.vm in chosen}
     assert len(chosen) == len(domains) == watch.WATCHERS_PER_GROUP
+
+
+def test_entry_vm_recognizes_its_own_promotion_whatever_its_name():
+    """Guards against an entry VM that takes its own attempt for that of another one."""
+    for vm in ("vm-1", "rack#2", "#"):
+        assert detection.promoter_vm(detection.new_promoter_name(vm)) == vm
