--- a/tests/test_platform/test_process_ends.py
+++ b/tests/test_platform/test_process_ends.py
@@ -65,6 +65,35 @@
         process.wait()
 
 
+# Runs the script in ``sys.argv[1]``; the first module that it loads sends both signals.
+_SIGNALS_AT_FIRST_IMPORT = """
+import _signal, posix, sys
+
+class Finder:
+    def find_spec(*_):
+        for number in (_signal.SIGHUP, _signal.SIGTERM):
+            posix.kill(posix.getpid(), number)
+
+del sys.argv[0]
+with open(sys.argv[0]) as script:
+    code = compile(script.read(), sys.argv[0], "exec")
+sys.meta_path.insert(0, Finder)
+exec(code, {"__name__": "__main__", "__file__": sys.argv[0]})
+"""
+
+
+def test_signals_before_the_first_import_of_the_deployed_script():
+    """Guards against some milliseconds of imports in which SIGHUP ends a starting process."""
+    _, *options, script = _deployed_command()
+    process = subprocess.run(
+        [sys.executable, *options, "-c", _SIGNALS_AT_FIRST_IMPORT, script],
+        cwd=ROOT,
+        timeout=START_LIMIT,
+        check=False,
+    )
+    assert process.returncode == 0
+
+
 def _listens(settings: pathlib.Path) -> bool:
     """Return whether the readiness page of an entry VM answers."""
     lines = settings.read_text(encoding="utf-8").splitlines()
