Block signals while a stopping daemon replaces their handlers

A planned stop could end by SIGHUP or a second SIGTERM, so that it looked like a crash: when the event loop removes a handler it sets the default action, and only the next call ignored the signal. Both signals are now blocked until they are ignored, which also discards those that arrived.

test_signals_at_the_end_of_the_event_loop_do_not_end_the_process sends each signal when its action becomes the default one: it failed before with exit code -1 and passes now.

--- a/src/greengageshunt/programs/common.py
+++ b/src/greengageshunt/programs/common.py
@@ -129,11 +129,7 @@
             for task in (reloader, log_writer):
                 task.cancel()
             await asyncio.gather(reloader, log_writer, return_exceptions=True)
-            # When the event loop closes, it restores the default actions of its signals. These
-            # would end the process, so a late SIGHUP or SIGTERM is ignored.
-            for number in (signal.SIGHUP, signal.SIGTERM):
-                asyncio.get_running_loop().remove_signal_handler(number)
-                signal.signal(number, signal.SIG_IGN)
+            _ignore_late_signals(asyncio.get_running_loop())
 
     try:
         asyncio.run(run())
@@ -142,6 +138,20 @@
         sys.exit(EXIT_INVALID_SETTINGS)
 
 
+def _ignore_late_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore SIGHUP and SIGTERM from now on, as their default action would end the process.
+
+    When an event loop removes a handler, by itself at its close, it restores the default action.
+    So the signals are blocked until they are ignored.
+    """
+    numbers = (signal.SIGHUP, signal.SIGTERM)
+    blocked = signal.pthread_sigmask(signal.SIG_BLOCK, numbers)
+    for number in numbers:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_SETMASK, blocked)
+
+
 async def _reload_on_request(
     requested: asyncio.Event, app: application.Application, path: pathlib.Path, load: config.Load
 ) -> None:
--- a/tests/test_platform/test_process_ends.py
+++ b/tests/test_platform/test_process_ends.py
@@ -94,6 +94,46 @@
     assert process.returncode == 0
 
 
+# Runs the entry VM; each change of a signal's action to the default one sends that signal.
+_SIGNALS_AT_DEFAULT_ACTION = """
+import os, signal
+
+set_action = signal.signal
+
+def set_and_send(number, action):
+    previous = set_action(number, action)
+    if action is signal.SIG_DFL:
+        os.kill(os.getpid(), number)
+    return previous
+
+signal.signal = set_and_send
+
+from greengageshunt.programs import early_signals, entry
+
+early_signals.install()
+entry.main()
+"""
+
+
+def test_signals_at_the_end_of_the_event_loop_do_not_end_the_process(settings):
+    """Guards against a planned stop that looks like a crash as the event loop removes handlers."""
+    process = subprocess.Popen(
+        [sys.executable, "-c", _SIGNALS_AT_DEFAULT_ACTION],
+        env={**os.environ, "GREENGAGESHUNT_BOOT": str(settings)},
+    )
+    try:
+        until = time.monotonic() + START_LIMIT
+        while not _listens(settings):
+            assert process.poll() is None, "the process has ended"
+            assert time.monotonic() < until
+            time.sleep(0.05)
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(entry_fleet.GRACE) == 0
+    finally:
+        process.kill()
+        process.wait()
+
+
 def _listens(settings: pathlib.Path) -> bool:
     """Return whether the readiness page of an entry VM answers."""
     lines = settings.read_text(encoding="utf-8").splitlines()
