Assign groups to hubs that the store answers

Callers of a primary that drained were sent there for longer than drain-ms (DRAIN), and a primary that crashed was not replaced, while the store turned the hub of the group away.

Each hub now reports in the answers to heartbeats whether the store answers it. Groups are assigned among those that it does, and a change begun by another one is taken over after 1 s, as that of a dead hub.

--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -11,7 +11,7 @@
 import dataclasses
 import logging
 
-from greengageshunt import application, codec, errors, logs
+from greengageshunt import application, codec, errors, logs, model
 from greengageshunt.coordination import (
     detection,
     lease,
@@ -20,6 +20,7 @@
     records,
     succession,
     view,
+    watch,
 )
 from greengageshunt.membership import ownership
 from greengageshunt.stores import rows
@@ -32,8 +33,8 @@
 HUB_CHECK_INTERVAL = 2.0
 
 # Seconds after which this entry VM takes over a change that another one started. If the process
-# that started it is gone, the delay is short; else it covers the longest duration of a change, so
-# that two entry VMs don't replace the same primary at once.
+# that started it is gone, or the store does not answer it, the delay is short; else it covers the
+# longest duration of a change, so that two entry VMs don't replace the same primary at once.
 TAKEOVER_DELAY_HOLDER_DEAD = 1.0
 TAKEOVER_DELAY_HOLDER_ALIVE = (
     lease.LEASE_SECONDS
@@ -67,7 +68,9 @@
 class Promoter:
     """Checks and replaces the primaries of the groups that are assigned to this entry VM.
 
-    Each group is assigned to one live hub by rendezvous hashing.
+    Each group is assigned by rendezvous hashing to one of the live hubs that the store answers.
+    While hubs disagree on these, several may act for a group. The condition on the row's version
+    lets one of them begin a change, and the others take it over only as that of a dead holder.
     """
 
     restartable = True
@@ -84,6 +87,7 @@
         self._detector: detection.Detector = app.part("coordination", "detector")
         self._configuration = app.part("configuration", "state")
         self._recall: recall.Recall = app.part("coordination", "recall")
+        self._watch: watch.StoreWatch = app.part("coordination", "watch")
         self._changing_since: dict[str, tuple[int, float]] = {}
         self._not_before: dict[str, float] = {}
         self._incarnations: dict[str, str] = {}
@@ -126,12 +130,16 @@
             return ()
         if self._view.copy(records.Section.CONTROL).era < self._view.newest_era:
             return ()
-        live = self._members.live_hubs(now)
         groups = self._configuration.current.groups_by_name
         me = self._members.me.vm
-        if not self._members.is_hub:
+        if not self._members.is_hub or not self._watch.is_served(me):
             return ()
-        return tuple(name for name in groups if ownership.rank(name, live)[0].vm == me)
+        served = self._served_hubs(now)
+        return tuple(name for name in groups if ownership.rank(name, served)[0].vm == me)
+
+    def _served_hubs(self, now: float) -> tuple[model.Member, ...]:
+        """Return the live hubs that the store answers."""
+        return tuple(hub for hub in self._members.live_hubs(now) if self._watch.is_served(hub.vm))
 
     async def _check(self, group: str) -> None:
         try:
@@ -173,11 +181,11 @@
         if record.holder == self._members.me.vm:
             # This task alone changes the group, so an earlier attempt left the change unfinished.
             return 0.0
-        live = {member.vm for member in self._members.live_hubs(now)}
+        served = {member.vm for member in self._served_hubs(now)}
         same_process = self._incarnations.get(record.holder) == record.incarnation
         return (
             TAKEOVER_DELAY_HOLDER_ALIVE
-            if same_process and record.holder in live
+            if same_process and record.holder in served
             else TAKEOVER_DELAY_HOLDER_DEAD
         )
 
@@ -350,7 +358,11 @@
         """
         key = view.GROUP_PREFIX + record.group
         etag = str(row.version) if row else None
-        written = await self._store.put_row(key, codec.to_plain(record), etag)
+        try:
+            written = await self._store.put_row(key, codec.to_plain(record), etag)
+        except errors.PlatformError:
+            self._watch.note_failed_write(self._app.clock())
+            raise
         if not isinstance(written, rows.Row):
             logs.log_decision(
                 logger, "write-lead", group=record.group, version=etag, outcome="conflict"
--- a/src/greengageshunt/coordination/watch.py
+++ b/src/greengageshunt/coordination/watch.py
@@ -90,15 +90,44 @@
         self._configuration_era = rows.FIRST_ERA
         self._started_at = app.clock()
         self._era: int | None = None  # before the first response of the store
+        self._answered_at = -math.inf
+        self._write_failed_at = -math.inf
+        self._unserved_peers: set[str] = set()
         self._links.add_heartbeat_value(
             "configuration-read", self._report_configuration, self._confirm_configuration
         )
+        self._links.add_heartbeat_value(
+            "store-served", lambda: self.is_served(self._members.me.vm), self._note_peer_served
+        )
 
     @property
     def control_read(self) -> asyncio.Event:
         """Event that is set once the control table has been read."""
         return self._control_read
 
+    def is_served(self, vm: str) -> bool:
+        """Return whether the store answers an entry VM, as far as this one knows.
+
+        A peer counts as served until it reports that it is not.
+
+        Args:
+            vm: Name of the entry VM.
+        """
+        if vm != self._members.me.vm:
+            return vm not in self._unserved_peers
+        available = self._availability[records.Section.CONTROL]
+        return available and self._answered_at > self._write_failed_at
+
+    def note_failed_write(self, now: float) -> None:
+        """Record a failed write to the store.
+
+        It shows a store that does not answer before the watch calls, which the store may hold.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        self._write_failed_at = now
+
     async def run(self) -> None:
         """Watch all sections until cancelled."""
         waits = {
@@ -158,6 +187,7 @@
                 delay = min(2 * delay, self._max_retry_delay)
                 continue
             delay, failed = MIN_RETRY_DELAY, False
+            self._answered_at = self._app.clock()
             self._note_availability(section, True, "")
             if section is records.Section.CONTROL:
                 self._note_control_read()
@@ -358,6 +388,12 @@
         if version and version == self._configuration.version:
             self._record_configuration_read(sent_at - age)
 
+    def _note_peer_served(self, vm: str, served: bool, sent_at: float) -> None:
+        if served:
+            self._unserved_peers.discard(vm)
+        else:
+            self._unserved_peers.add(vm)
+
     def _note_availability(self, section: records.Section, available: bool, reason: str) -> None:
         if self._availability[section] == available:
             return
--- a/tests/support/primary_world.py
+++ b/tests/support/primary_world.py
@@ -32,6 +32,7 @@
         self.primary = "t-1"
         self.term = 1
         self.down: set[str] = set()
+        self.stepped_down = False
         self.tokens: dict[int, str] = {}
         self.tokens_used_twice: list[int] = []
         self.replaced: list[str] = []
@@ -48,22 +49,26 @@
         if target != self.primary:
             self.replaced.append(self.primary)
             self.primary, self.term = target, self.term + 1
+        self.stepped_down = False
         return True
 
     async def connect(self, entry, account, timeout):
-        """Return a connection to a target; only ``status`` and ``close`` work."""
+        """Return a connection to a target without statements."""
         await asyncio.sleep(0.002)
         if entry.target in self.down:
             raise errors.TargetError("down", step="connect", peer=entry.target, sent=False)
 
         async def status(timeout):
             return types.SimpleNamespace(
-                primary=entry.target == self.primary,
+                primary=entry.target == self.primary and not self.stepped_down,
                 term=self.term,
                 position=model.Position(term=self.term, offset=10),
             )
 
-        return types.SimpleNamespace(status=status, close=lambda: None)
+        async def step_down(term, timeout):
+            self.stepped_down = self.stepped_down or entry.target == self.primary
+
+        return types.SimpleNamespace(status=status, step_down=step_down, close=lambda: None)
 
 
 class Executor:
--- a/tests/support/store_fleet.py
+++ b/tests/support/store_fleet.py
@@ -21,6 +21,8 @@
 # Seconds until a write whose response was lost is performed; the platform names up to 6.
 LATE_SECONDS = 3.0
 
+CALL_TIMEOUT = 1.0  # seconds that a client waits for a store that does not answer
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Copy:
@@ -163,13 +165,15 @@
 class Client:
     """Client of the store on one entry VM.
 
-    While ``cut``, its calls fail; those that wait for changes fail with the next change. Writes
+    While ``cut``, its calls fail; those that wait for changes fail with the next change. If it is
+    also ``silent``, they fail only after the time for which a client waits for an answer. Writes
     whose numbers are in ``lost_writes``, counted from 1, get no response and are performed
     ``LATE_SECONDS`` later if their condition still holds.
     """
 
     def __init__(self, *, store: Store, vm: str, clock: abc.Callable[[], float]) -> None:
         self.cut = False
+        self.silent = False
         self.lost_writes: set[int] = set()
         self._writes = 0
         self._store = store
@@ -185,7 +189,7 @@
         until = self._clock() + wait
         watches_configuration = section is records.Section.CONFIGURATION
         while self._clock() < until:
-            self._check()
+            await self._check(until + CALL_TIMEOUT - self._clock())
             changed = self._store.changes(section, after, 0.0, is_snapshot=False)
             if changed.rows or changed.removed or (watches_configuration and changed.configuration):
                 break
@@ -216,10 +220,12 @@
     async def _count(self) -> None:
         self._store.calls[self._vm] += 1
         await asyncio.sleep(STORE_SECONDS)
-        self._check()
+        await self._check(CALL_TIMEOUT)
 
-    def _check(self) -> None:
+    async def _check(self, patience: float) -> None:
         if self._store.down or self.cut:
+            if self.silent:
+                await asyncio.sleep(patience)
             raise errors.PlatformError("down", step="call", peer="store", effect_unknown=False)
 
 
--- a/tests/test_coordination/test_promotion.py
+++ b/tests/test_coordination/test_promotion.py
@@ -114,6 +114,7 @@
         ("coordination", "leases"),
         ("coordination", "eras"),
         ("coordination", "succession"),
+        ("coordination", "watch"),
         ("coordination", "members"),
         ("coordination", "detector"),
         ("peers", "server"),
