Keep to the limits of accounts with small bursts

Requests of an account could exceed its limit (QUOTA): with 16 entry VMs, a rate of 2 and a burst of 2, 22 requests ran in 5 s where 12 are allowed. No caller reported it.

What a bucket holds above its part of the burst is now taken off its rate, and an account whose limit is too small for the parts has no reserve and fewer holders. Both follow from the configuration, not from the number of names, which entry VMs may know differently.

--- a/src/greengageshunt/admission/granted.py
+++ b/src/greengageshunt/admission/granted.py
@@ -4,9 +4,10 @@
 their reserves. The rest is divided among a few holders, which rendezvous hashing selects for
 each account; an entry VM whose reserve is used up requests tokens from them. Where there are
 so many entry VMs that an even part would be less than a token, there is no reserve, and one
-hub of each failure domain is a holder. Reserves and holders' parts depend only on the
-registered names. So their sum never exceeds the limit, whichever entry VMs are cut off, and a
-restarted process admits requests at once.
+hub of each failure domain is a holder. An account whose limit is too small for these parts has
+no reserve either, and fewer holders. Reserves and holders' parts depend only on the registered
+names and the configuration. So their sum never exceeds the limit, whichever entry VMs are cut
+off, and a restarted process admits requests at once.
 ``docs/decisions/0012-grants.md`` contains the argument.
 """
 
@@ -32,6 +33,10 @@
 # may fail without rejected requests.
 HOLDER_COUNT = 3
 
+# Fewest tokens in a window for which a holder is used. Its bucket holds at least one, which is
+# taken off its rate where the burst is small; with smaller parts, more of the rate is lost.
+MIN_HOLDER_TOKENS = 4.0
+
 # Seconds after which unspent granted tokens expire.
 GRANT_LIFETIME = 1.5
 
@@ -119,20 +124,41 @@
         return frozenset(itertools.chain.from_iterable(self.hubs or (self.names,)))
 
 
-def holders_of(account: str, registered: RegisteredNames) -> tuple[str, ...]:
-    """Return the holders of an account among the registered names."""
+def reserve_fraction(registered: RegisteredNames, limit: float = math.inf) -> float:
+    """Return the fraction of a limit that is divided among the reserves of all entry VMs.
+
+    A limit without a token in a window for each reserve of the largest fleet has none. This doesn't
+    depend on the number of names, since entry VMs may know different ones.
+
+    Args:
+        registered: Names of the registered entry VMs.
+        limit: Requests that the account may send in one window.
+    """
+    too_small = RESERVE_FRACTION * limit < topology.MAX_FULL_MESH_SIZE
+    return 0.0 if registered.hubs or too_small else RESERVE_FRACTION
+
+
+def holders_of(
+    account: str, registered: RegisteredNames, limit: float = math.inf
+) -> tuple[str, ...]:
+    """Return the holders of an account among the registered names; a small limit has fewer.
+
+    Args:
+        account: Name of the client account.
+        registered: Names of the registered entry VMs.
+        limit: Requests that the account may send in one window.
+    """
 
     def rank(names: abc.Iterable[str]) -> list[str]:
         return sorted(names, key=lambda name: ownership.score(account, name), reverse=True)
 
     if registered.hubs:
-        return tuple(rank(local)[0] for local in registered.hubs)
-    return tuple(rank(registered.names)[:HOLDER_COUNT])
-
-
-def reserve_fraction(registered: RegisteredNames) -> float:
-    """Return the fraction of a limit that is divided among the reserves of all entry VMs."""
-    return 0.0 if registered.hubs else RESERVE_FRACTION
+        holders = [rank(local)[0] for local in registered.hubs]
+    else:
+        holders = rank(registered.names)[:HOLDER_COUNT]
+    granted = (1.0 - reserve_fraction(registered, limit)) * limit
+    count = max(1, int(min(len(holders), granted / MIN_HOLDER_TOKENS)))
+    return tuple(holders if count == len(holders) else rank(holders)[:count])
 
 
 def may_grant(
@@ -141,6 +167,7 @@
     history: abc.Sequence[RegisteredNames],
     common: tuple[int, int],
     now: float,
+    limit: float = math.inf,
 ) -> bool:
     """Return whether an entry VM is a holder of an account and no earlier holder may still grant.
 
@@ -150,9 +177,10 @@
         history: Registered names, newest first.
         common: Era and version of the control table that all possible holders have read.
         now: Monotonic seconds.
+        limit: Requests that the account may send in one window.
     """
     for registered in history:
-        if vm not in holders_of(account, registered):
+        if vm not in holders_of(account, registered, limit):
             return False
         # A removed holder may not have read of its removal, and may still grant tokens.
         read_by_all = registered.position <= common and not registered.drops_candidate
@@ -161,6 +189,24 @@
     return bool(history)
 
 
+def part_of(account: model.ClientAccount, part: float, window: float) -> tuple[float, float]:
+    """Return the rate and the capacity of a bucket for a part of an account's limit.
+
+    A bucket that holds less than one token admits nothing. What its capacity exceeds the part of
+    the burst by is taken off its rate, so that it keeps to the part of the limit in each window.
+    An account that may not send a whole request in a window keeps its rate.
+
+    Args:
+        account: The client account with its whole limit.
+        part: Fraction of the limit, from 0 to 1.
+        window: Length of the windows in seconds.
+    """
+    rate, capacity = account.rate * part, max(1.0, account.burst * part)
+    if account.rate * window + account.burst < 1.0:
+        return rate, capacity
+    return max(0.0, rate - (capacity - account.burst * part) / window), capacity
+
+
 def grant_size(requested: float, available: float) -> float:
     """Return the tokens that a holder grants.
 
@@ -206,6 +252,7 @@
         self._unresponsive_until: dict[str, float] = {}
         self._grant_tasks: dict[str, asyncio.Task[bool]] = {}
         self._accounts: dict[str, model.ClientAccount] = {}
+        self._window = app.settings["limits.window"]
         self._rounds = itertools.count()
         self._awaiting_refill: set[str] = set()
         self._denial_reasons: dict[str, str] = {}
@@ -341,7 +388,7 @@
         """
         if not self._name_history:
             return ()
-        holders = holders_of(account, self._name_history[0])
+        holders = holders_of(account, self._name_history[0], self._limit(account))
         first = next(self._rounds) % len(holders)
         ordered = (*holders[first:], *holders[:first])
         if not self._name_history[0].hubs:
@@ -377,10 +424,13 @@
             return Grant(tokens=0.0, reason="unknown account")
         if now >= self._view.copy(records.Section.CONTROL).as_of + lease.LEASE_SECONDS:
             return Grant(tokens=0.0, reason="the registered names are not confirmed")
-        if not may_grant(request.account, me, self._name_history, self._common_position(), now):
+        limit = self._limit(request.account)
+        common = self._common_position()
+        if not may_grant(request.account, me, self._name_history, common, now, limit):
             return Grant(tokens=0.0, reason="not a holder")
         newest = self._name_history[0]
-        part = (1.0 - reserve_fraction(newest)) / len(holders_of(request.account, newest))
+        holders = holders_of(request.account, newest, limit)
+        part = (1.0 - reserve_fraction(newest, limit)) / len(holders)
         held = self._resized(self._holder_buckets.get(request.account), account, part, now)
         tokens = grant_size(request.tokens, held.tokens)
         self._holder_buckets[request.account] = dataclasses.replace(
@@ -401,11 +451,26 @@
         limits = self._accounts.get(account)
         if limits is None or not self._name_history:
             return None
-        part = reserve_fraction(self._name_history[0]) / len(self._name_history[0].names)
+        newest = self._name_history[0]
+        part = reserve_fraction(newest, self._limit(account)) / len(newest.names)
         if not part:
             return None
         return self._resized(self._reserves.get(account), limits, part, now)
 
+    def _limit(self, account: str) -> float:
+        """Return the requests that an account may send in one window."""
+        limits = self._accounts.get(account)
+        return limits.rate * self._window + limits.burst if limits else math.inf
+
+    def _empty_absent_reserves(self) -> None:
+        """Empty the reserves of accounts that have none now, so that none refills meanwhile."""
+        now = self._app.clock()
+        for account in self._accounts if self._name_history else ():
+            if not reserve_fraction(self._name_history[0], self._limit(account)):
+                self._reserves[account] = bucket.Bucket(
+                    rate=0.0, capacity=0.0, tokens=0.0, updated_at=now
+                )
+
     def _resized(
         self,
         current: bucket.Bucket | None,
@@ -424,7 +489,7 @@
             part: Fraction of the limit, from 0 to 1.
             now: Monotonic seconds.
         """
-        rate, capacity = account.rate * part, max(1.0, account.burst * part)
+        rate, capacity = part_of(account, part, self._window)
         if current is None:
             empty_at = max(self._started_at, self._name_history[0].first_read_at)
             current = bucket.Bucket(rate=rate, capacity=capacity, tokens=0.0, updated_at=empty_at)
@@ -460,6 +525,7 @@
             newest = dataclasses.replace(newest, drops_candidate=True)
         self._name_history = (newest, *recent, *older)
         era, version = position
+        self._empty_absent_reserves()
         logs.log_decision(logger, "adopt-holders", names=names, version=version, era=era)
 
     def _hubs(self, names: abc.Iterable[str]) -> tuple[tuple[str, ...], ...]:
@@ -480,6 +546,8 @@
             window=settings["limits.window"],
         )
         self._accounts = {account.name: account for account in widened.accounts}
+        self._window = settings["limits.window"]
+        self._empty_absent_reserves()
 
 
 def setup(app: application.Application) -> None:
--- a/tests/test_admission/test_granted.py
+++ b/tests/test_admission/test_granted.py
@@ -80,7 +80,14 @@
     return records.ControlRow(key=f"members/{vm}", version=version, value=view.codec.to_json(entry))
 
 
-def _policy(vm: str, vms: tuple[str, ...], clock: Clock, network: Network, **limits: float):
+def _policy(
+    vm: str,
+    vms: tuple[str, ...],
+    clock: Clock,
+    network: Network,
+    account: model.ClientAccount = ACCOUNT,
+    **limits: float,
+):
     app = application.Application(name=vm, clock=lambda: clock.now)
     app.add_event("configuration-changed")
     view.setup(app)
@@ -95,7 +102,7 @@
     policy = app.part("admission", "granted")
     app.events.emit(
         "configuration-changed",
-        model.Configuration(version=1, accounts=(ACCOUNT,), keys=(), routes=(), token_secret=""),
+        model.Configuration(version=1, accounts=(account,), keys=(), routes=(), token_secret=""),
     )
     _apply_names(app, vms, clock, 1)
     return app, policy
@@ -169,6 +176,45 @@
     assert _largest_window(times) <= ACCOUNT.rate * WINDOW + ACCOUNT.burst
 
 
+SIXTEEN = tuple(f"vm-{index}" for index in range(16))
+
+
+@pytest.mark.parametrize(
+    ("vms", "rate", "burst", "tolerance", "slack"),
+    [
+        (SIXTEEN, 2.0, 2.0, 0.1, 20.0),
+        (SIXTEEN, 2.0, 2.0, 0.0, 0.0),
+        (SIXTEEN, 20.0, 2.0, 0.0, 0.0),
+        (SIXTEEN[:8], 1.0, 1.0, 0.0, 0.0),
+        (SIXTEEN, 7.0, 5.0, 0.0, 0.0),
+        (SIXTEEN[:8], 0.2, 0.5, 0.0, 0.0),
+        (MANY, 0.3, 1.0, 0.0, 0.0),
+    ],
+)
+async def test_small_limit_holds_over_all_entry_vms(vms, rate, burst, tolerance, slack):
+    """Guards against buckets of one token each that together are above a small limit.
+
+    With 16 entry VMs, a rate of 2 and a burst of 2, 22 requests ran where 12 are allowed.
+    """
+    clock, network = Clock(), Network()
+    account = dataclasses.replace(ACCOUNT, rate=rate, burst=burst)
+    limits = {"limits.tolerance": tolerance, "limits.slack": slack}
+    fleet = {vm: _policy(vm, vms, clock, network, account, **limits) for vm in vms}
+    clock.now += 60.0
+    times: list[float] = []
+    for step in range(250):
+        if step % 8 == 0:
+            for app, _ in fleet.values():
+                _apply_names(app, vms, clock, 1)
+        for _, policy in fleet.values():
+            while await _admit(policy, clock):
+                times.append(clock.now)
+        clock.now += 0.12
+    limit = rate * WINDOW + burst
+    assert _largest_window(times) <= limit * (1.0 + tolerance) + slack
+    assert len(times) >= 0.5 * 30.0 * rate
+
+
 async def test_many_entry_vms_together_can_use_nearly_all_of_an_account():
     """Guards against rejections within the rate when callers are spread over many entry VMs."""
     clock, network = Clock(), Network()
