Count the silence of an entry VM only while another could be heard

An entry VM that returned from a cut of 12 s marked all others as removed before their heartbeats arrived.

Silence was the time since the last heartbeat, also while this entry VM was cut off, frozen or slow. It is now added up from check to check, and an interval counts only if the store or another entry VM answers, and at most 1 s of it.

--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -3,7 +3,6 @@
 import asyncio
 import dataclasses
 import logging
-import math
 import random
 import uuid
 
@@ -16,6 +15,10 @@
 
 MEMBER_CHECK_INTERVAL = 0.5  # seconds between checks of the registered entry VMs
 
+# Most seconds of silence that count between two checks. The process did not run for the rest, so
+# that it heard nobody.
+MAX_COUNTED_INTERVAL = 1.0
+
 # Seconds without a sign of life after which an entry VM is marked as removed. With less than most
 # restarts and partitions last, entry VMs would be removed and registered again each time. With
 # more, changes of primary are slow for longer: until the row is deleted, each of them waits for
@@ -42,8 +45,9 @@
         self._view: view.StoreView = app.part("coordination", "view")
         self._members = app.part("membership", "view")
         self._peer_server = app.part("peers", "server")
-        self._responsible_since: dict[str, float] = {}
-        self._last_heard_at: dict[str, float] = {}
+        # Seconds for which an entry VM was silent while this one could hear others.
+        self._silent_seconds: dict[str, float] = {}
+        self._checked_at = app.clock()
         # Position of the row that marks an entry VM, and when this process first saw it.
         self._marked_at: dict[str, tuple[tuple[int, int], float]] = {}
         self._row_written = asyncio.Event()
@@ -183,14 +187,18 @@
         A marked row stays until every lease of its process has expired, so that a change of
         primary still waits for that process.
         """
+        elapsed = min(now - self._checked_at, MAX_COUNTED_INTERVAL)
+        heard = elapsed if self._can_hear(now) else 0.0
+        self._checked_at = now
         for vm, entry in tuple(self._view.members.items()):
             if vm == self._me.vm or not self._is_responsible_for(entry, now):
                 self._marked_at.pop(vm, None)
-                self._responsible_since.pop(vm, None)
+                # Silence before this entry VM became responsible for the other one doesn't count.
+                self._silent_seconds.pop(vm, None)
             elif entry.removed:
                 if now - self._marked_since(vm, now) > ROW_KEPT_SECONDS:
                     await self._delete_row(vm)
-            elif self._is_unresponsive(vm, now):
+            elif self._is_unresponsive(vm, now, heard):
                 await self._mark_removed(entry)
 
     def _is_responsible_for(self, entry: records.MemberEntry, now: float) -> bool:
@@ -224,12 +232,29 @@
             known = self._marked_at[vm] = (position, now)
         return known[1]
 
-    def _is_unresponsive(self, vm: str, now: float) -> bool:
-        # Silence before this entry VM became responsible for the other one doesn't count.
-        since = self._responsible_since.setdefault(vm, now)
-        if self._members.is_live(vm, now):
-            self._last_heard_at[vm] = now
-        return now - max(self._last_heard_at.get(vm, -math.inf), since) > REMOVE_AFTER
+    def _can_hear(self, now: float) -> bool:
+        """Return whether another entry VM or the store answers this one.
+
+        One that hears nobody is more likely to be cut off itself than to be the only one left.
+        """
+        if self._app.part("coordination", "watch").is_served(self._me.vm):
+            return True
+        return any(self._members.is_live(peer.vm, now) for peer in self._members.neighbours)
+
+    def _is_unresponsive(self, vm: str, now: float, heard: float) -> bool:
+        """Return whether an entry VM was silent for so long that it is to be removed.
+
+        Args:
+            vm: Name of the entry VM.
+            now: Monotonic seconds.
+            heard: Seconds since the last check for which this entry VM could hear others.
+        """
+        known = self._silent_seconds.get(vm)
+        if known is None or self._members.is_live(vm, now):
+            self._silent_seconds[vm] = 0.0
+        else:
+            self._silent_seconds[vm] = known + heard
+        return self._silent_seconds[vm] > REMOVE_AFTER
 
     async def _mark_removed(self, entry: records.MemberEntry) -> None:
         row = self._view.row(view.MEMBER_PREFIX + entry.vm)
--- a/tests/test_coordination/test_members.py
+++ b/tests/test_coordination/test_members.py
@@ -50,6 +50,11 @@
         app.add_event("members-changed")
         app.add_part("platform", "table", lambda app: self.store)
         app.add_part("membership", "view", lambda app: self.members_view)
+        self.served = True
+        self.watch = types.SimpleNamespace(
+            control_read=asyncio.Event(), is_served=lambda vm: self.served
+        )
+        app.add_part("coordination", "watch", lambda app: self.watch)
         self.peer_server = types.SimpleNamespace(listening=True)
         app.add_part("peers", "server", lambda app: self.peer_server)
         view.setup(app)
@@ -147,6 +152,31 @@
     assert fleet.members_view.live_hubs(fleet.now)
 
 
+@pytest.mark.parametrize("cause", ["cut off", "frozen", "slow"])
+async def test_entry_vm_that_could_not_hear_removes_nobody(cause):
+    """Guards against the removal of all others by one that returns, before it hears them again.
+
+    All leases ended then, until the others had registered again.
+    """
+    everyone = {member.vm for member in MEMBERS}
+    for hub in _hubs()["b"]:
+        fleet = _Fleet(hub)
+        await fleet.pass_time(2.0, set())
+        if cause == "cut off":
+            fleet.served = False
+            await fleet.pass_time(12.0, everyone)
+        elif cause == "frozen":
+            fleet.now += 12.0
+        else:
+            for _ in range(3):
+                fleet.now += 4.0
+                await fleet.registry._remove_unresponsive(fleet.now)
+        fleet.served = True
+        await fleet.pass_time(1.0, everyone)
+        await fleet.pass_time(1.0, set())
+        assert not fleet.store.writes
+
+
 async def _register(**fields: object) -> list[str]:
     """Start a registry and return its writes.
 
@@ -157,9 +187,7 @@
     stored = dataclasses.replace(fleet.registry.me, **{"incarnation": "earlier process", **fields})
     row = records.ControlRow(key="members/a-0", version=7, value=codec.to_json(stored))
     fleet.view.apply_row(row)
-    watch = types.SimpleNamespace(control_read=asyncio.Event())
-    watch.control_read.set()
-    fleet.app.add_part("coordination", "watch", lambda app: watch)
+    fleet.watch.control_read.set()
     running = asyncio.create_task(fleet.registry.run())
     await asyncio.wait_for(fleet.registry.row_written.wait(), 1.0)
     running.cancel()
