Count the registration of a removed entry VM as a sign of life

An entry VM that registered after its removal was marked as removed again if its first heartbeat came later than the next check, and lost its lease again. No caller reported it.

test_registration_of_a_removed_entry_vm_is_a_sign_of_life failed before and passes now.

--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -196,6 +196,8 @@
                 # Silence before this entry VM became responsible for the other one doesn't count.
                 self._silent_seconds.pop(vm, None)
             elif entry.removed:
+                # The registration of a new process is a sign of life, too.
+                self._silent_seconds.pop(vm, None)
                 if now - self._marked_since(vm, now) > ROW_KEPT_SECONDS:
                     await self._delete_row(vm)
             elif self._is_unresponsive(vm, now, heard):
--- a/tests/test_coordination/test_members.py
+++ b/tests/test_coordination/test_members.py
@@ -221,6 +221,31 @@
     assert not fleet.registry.registered
 
 
+async def test_registration_of_a_removed_entry_vm_is_a_sign_of_life():
+    """Guards against a second mark before the first heartbeat of the new process arrives.
+
+    The process loses its lease again, and its callers wait for the next registration.
+    """
+    hubs = _hubs()
+    plain = next(m for m in MEMBERS if m.failure_domain == "b" and m not in hubs["b"])
+    for hub in hubs["b"]:
+        fleet = _Fleet(hub)
+        await fleet.pass_time(2.0, set())
+        await fleet.pass_time(REMOVED_WITHIN, {plain.vm})
+        marked = list(fleet.store.writes)
+        entry = fleet.view.member(plain.vm)
+        row = records.ControlRow(
+            key=f"members/{plain.vm}",
+            version=1000,
+            value=codec.to_json(dataclasses.replace(entry, removed=False, incarnation="y")),
+        )
+        fleet.view.apply_row(row)
+        await fleet.pass_time(members.REMOVE_AFTER / 2, {plain.vm})
+        assert fleet.store.writes == marked
+        await fleet.pass_time(members.REMOVE_AFTER, {plain.vm})
+        assert fleet.store.writes == 2 * marked
+
+
 async def test_row_that_is_marked_again_stays_until_the_leases_of_its_process_end():
     """Guards against a second mark that counts from the first one.
 
