Do not remove an entry VM again before it was silent since its registration

Behind a cut between entry VMs only, each side marked the other as removed at each check, half a second apart, and all leases ended each time.

Silence counts from the last write of the row, and at a third of the speed while a hub hears no majority of the hubs, since it may be the one that is cut off.

test_entry_vm_that_only_the_store_reaches_is_not_removed_again_at_once failed before and passes now.

--- a/src/greengageshunt/coordination/members.py
+++ b/src/greengageshunt/coordination/members.py
@@ -8,7 +8,7 @@
 
 from greengageshunt import application, codec, errors, logs, model
 from greengageshunt.coordination import lease, records, view
-from greengageshunt.membership import ownership
+from greengageshunt.membership import ownership, topology
 from greengageshunt.stores import rows
 
 logger = logging.getLogger(__name__)
@@ -19,6 +19,10 @@
 # that it heard nobody.
 MAX_COUNTED_INTERVAL = 1.0
 
+# Factor on the silence that a hub counts while it hears no majority of the hubs. It may be cut off
+# from them while all reach the store, and would remove them again and again.
+MINORITY_FACTOR = 1 / 3
+
 # Seconds without a sign of life after which an entry VM is marked as removed. With less than most
 # restarts and partitions last, entry VMs would be removed and registered again each time. With
 # more, changes of primary are slow for longer: until the row is deleted, each of them waits for
@@ -45,8 +49,9 @@
         self._view: view.StoreView = app.part("coordination", "view")
         self._members = app.part("membership", "view")
         self._peer_server = app.part("peers", "server")
-        # Seconds for which an entry VM was silent while this one could hear others.
-        self._silent_seconds: dict[str, float] = {}
+        # Position of the row of an entry VM, and the seconds since that row was written for which
+        # it was silent while this one could hear others.
+        self._silent_seconds: dict[str, tuple[tuple[int, int], float]] = {}
         self._checked_at = app.clock()
         # Position of the row that marks an entry VM, and when this process first saw it.
         self._marked_at: dict[str, tuple[tuple[int, int], float]] = {}
@@ -84,6 +89,19 @@
         complete = copy.era == row.era and copy.version >= row.version
         return complete and copy.as_of >= self._started_at
 
+    def hears_most_hubs(self, now: float) -> bool:
+        """Return whether a silent hub is more likely dead than cut off from this entry VM.
+
+        Hubs count with those marked as removed, since each side of a partition marks the other.
+
+        Args:
+            now: Monotonic seconds.
+        """
+        known = [entry for entry in self._view.members.values() if not entry.stopped]
+        hubs = topology.hubs(tuple(view.to_member(entry) for entry in known))
+        live = sum(self._members.is_live(hub.vm, now) for hub in hubs)
+        return len(hubs) <= 2 or 2 * live > len(hubs)
+
     @property
     def row_written(self) -> asyncio.Event:
         """Event that is set once the store holds the row of this entry VM."""
@@ -189,6 +207,8 @@
         """
         elapsed = min(now - self._checked_at, MAX_COUNTED_INTERVAL)
         heard = elapsed if self._can_hear(now) else 0.0
+        if self._members.is_hub and not self.hears_most_hubs(now):
+            heard *= MINORITY_FACTOR
         self._checked_at = now
         for vm, entry in tuple(self._view.members.items()):
             if vm == self._me.vm or not self._is_responsible_for(entry, now):
@@ -196,8 +216,6 @@
                 # Silence before this entry VM became responsible for the other one doesn't count.
                 self._silent_seconds.pop(vm, None)
             elif entry.removed:
-                # The registration of a new process is a sign of life, too.
-                self._silent_seconds.pop(vm, None)
                 if now - self._marked_since(vm, now) > ROW_KEPT_SECONDS:
                     await self._delete_row(vm)
             elif self._is_unresponsive(vm, now, heard):
@@ -251,12 +269,13 @@
             now: Monotonic seconds.
             heard: Seconds since the last check for which this entry VM could hear others.
         """
-        known = self._silent_seconds.get(vm)
-        if known is None or self._members.is_live(vm, now):
-            self._silent_seconds[vm] = 0.0
-        else:
-            self._silent_seconds[vm] = known + heard
-        return self._silent_seconds[vm] > REMOVE_AFTER
+        row = self._view.row(view.MEMBER_PREFIX + vm)
+        position = row.position if row is not None else (0, 0)
+        known, seconds = self._silent_seconds.get(vm, (None, 0.0))
+        # A registration is a sign of life, too.
+        silent = known == position and not self._members.is_live(vm, now)
+        self._silent_seconds[vm] = (position, seconds + heard if silent else 0.0)
+        return self._silent_seconds[vm][1] > REMOVE_AFTER
 
     async def _mark_removed(self, entry: records.MemberEntry) -> None:
         row = self._view.row(view.MEMBER_PREFIX + entry.vm)
--- a/tests/support/store_fleet.py
+++ b/tests/support/store_fleet.py
@@ -250,8 +250,9 @@
 
     listening = True
 
-    def __init__(self, *, fleet: "Fleet") -> None:
+    def __init__(self, *, fleet: "Fleet", vm: str) -> None:
         self._fleet = fleet
+        self._vm = vm
         self.values: dict[str, tuple] = {}
         self.handlers: dict[type, object] = {}
 
@@ -265,7 +266,7 @@
 
     async def request(self, vm, message, timeout):
         """Return the answer of a peer."""
-        peer = self._fleet.running.get(vm)
+        peer = self._fleet.peer(self._vm, vm)
         if peer is None:
             raise errors.PeerError("down", step="request", peer=vm, sent=False)
         await asyncio.sleep(0.001)
@@ -311,6 +312,7 @@
     ) -> None:
         self.store = Store()
         self.running: dict[str, EntryVm] = {}
+        self.partitioned: set[str] = set()  # entry VMs that no other one reaches, and vice versa
         self._sparse = sparse
         self._groups = groups
         self._add_parts = add_parts
@@ -328,7 +330,7 @@
         """Start the process of one entry VM."""
         clock = asyncio.get_running_loop().time
         app = application.Application(name=member.vm, clock=clock)
-        links = Links(fleet=self)
+        links = Links(fleet=self, vm=member.vm)
         configuration = Configuration(groups=self._groups)
         members_view = member_view.MemberView(me=member, clock=clock, sparse=self._sparse)
         client = Client(store=self.store, vm=member.vm, clock=clock)
@@ -366,7 +368,7 @@
         while True:
             sent_at = vm.app.clock()
             for neighbour in tuple(vm.members.neighbours):
-                peer = self.running.get(neighbour.vm)
+                peer = self.peer(vm.app.name, neighbour.vm)
                 if peer is None:
                     continue
                 vm.members.record_response(neighbour.vm, sent_at, False)
@@ -375,6 +377,10 @@
                     sink(neighbour.vm, peer.links.values[name][0](), sent_at)
             await asyncio.sleep(0.5)
 
+    def peer(self, vm: str, name: str) -> EntryVm | None:
+        """Return the running process of an entry VM if another one reaches it, or None."""
+        return None if {vm, name} & self.partitioned else self.running.get(name)
+
     def cut(self, name: str) -> EntryVm:
         """Cut one entry VM off from the store and from its peers, and return it."""
         vm = self.running.pop(name)
--- a/tests/test_coordination/test_returned_member.py
+++ b/tests/test_coordination/test_returned_member.py
@@ -1,13 +1,20 @@
-"""An entry VM that returns after it was cut off from the store and from all other entry VMs."""
+"""Entry VMs that are cut off from others, from the store or both, and the rows of removed ones."""
 
 import asyncio
+import collections
 import json
 
+from greengageshunt.coordination import members
+from greengageshunt.membership import ownership
 from greengageshunt.standins import memory
-from support import store_fleet
+from support import primary_world, store_fleet
 
 CUT_SECONDS = 12.0
 
+# Seconds within which a crashed primary is replaced: 6.15 s for the leases of those behind the cut,
+# and as much again if one of them began the change.
+CHANGE_BOUND = 16.0
+
 
 async def _removed_after_a_cut() -> list[tuple[str, str]]:
     """Cut off one entry VM after the other; return who was marked as removed while who returned."""
@@ -43,3 +50,40 @@
     """Guards against a fleet without leases since one entry VM heard nobody during its own cut."""
     removed = memory.run(_removed_after_a_cut())
     assert {vm for vm, _ in removed} and all(vm == returned for vm, returned in removed)
+
+
+async def _change_beside_a_partition(seconds: float, size: int) -> tuple[primary_world.World, int]:
+    """Cut entry VMs off from the others but not from the store, and let the primary crash.
+
+    Args:
+        seconds: Seconds from the cut to the crash.
+        size: Number of entry VMs that are cut off, each from all others.
+
+    Returns:
+        The world, and the largest number of times that one entry VM was marked as removed.
+    """
+    world = primary_world.World()
+    await world.start()
+    marks: collections.Counter[str] = collections.Counter()
+    put = world.store.put
+
+    def record_put(key, value, etag):
+        if key.startswith("members/") and value["removed"]:
+            marks[key] += 1
+        return put(key, value, etag)
+
+    world.store.put = record_put
+    ranked = ownership.rank(primary_world.GROUP, world.fleet.listed)
+    world.fleet.partitioned.update(member.vm for member in ranked[-size:])
+    await asyncio.sleep(seconds)
+    world.platform.down.add("t-1")
+    await asyncio.sleep(CHANGE_BOUND)
+    await world.stop()
+    return world, max(marks.values())
+
+
+def test_entry_vm_that_only_the_store_reaches_is_not_removed_again_at_once():
+    """Guards against a mark at each check, since the silence of before a mark went on."""
+    world, marks = memory.run(_change_beside_a_partition(8.0, 1))
+    assert marks <= 1 + (8.0 + CHANGE_BOUND) // members.REMOVE_AFTER
+    assert not world.former_primaries
