Take over a silent holder's change only on a hub that hears most hubs

While one entry VM reached the store but no other one, a primary that crashed was not replaced. Each side took the other's holder for dead and took over its change after 1 s, while each change waits 6.15 s for leases that it cannot recall.

A hub that does not hear most hubs may be cut off itself, so it waits for as long as a change can take.

test_primary_is_replaced_beside_entry_vms_that_only_the_store_reaches: 10 of 10 cases failed before (not replaced within 16 s) and pass now.

--- a/src/greengageshunt/coordination/promotion.py
+++ b/src/greengageshunt/coordination/promotion.py
@@ -177,10 +177,20 @@
             await self._replace_primary(group, record, "the primary is not reached")
 
     def _takeover_delay(self, record: records.PrimaryRecord, now: float) -> float:
-        """Return the seconds after which this entry VM takes over an unfinished change."""
+        """Return the seconds after which this entry VM takes over an unfinished change.
+
+        Two entry VMs that reach the store but not each other would take over each other's changes
+        before any of them ends, if both took the other one for dead.
+        """
         if record.holder == self._members.me.vm:
             # This task alone changes the group, so an earlier attempt left the change unfinished.
             return 0.0
+        if not self._members.is_live(record.holder, now):
+            return (
+                TAKEOVER_DELAY_HOLDER_DEAD
+                if self._registry.hears_most_hubs(now)
+                else TAKEOVER_DELAY_HOLDER_ALIVE
+            )
         served = {member.vm for member in self._served_hubs(now)}
         same_process = self._incarnations.get(record.holder) == record.incarnation
         return (
--- a/tests/test_coordination/test_returned_member.py
+++ b/tests/test_coordination/test_returned_member.py
@@ -4,6 +4,8 @@
 import collections
 import json
 
+import pytest
+
 from greengageshunt.coordination import members
 from greengageshunt.membership import ownership
 from greengageshunt.standins import memory
@@ -87,3 +89,16 @@
     world, marks = memory.run(_change_beside_a_partition(8.0, 1))
     assert marks <= 1 + (8.0 + CHANGE_BOUND) // members.REMOVE_AFTER
     assert not world.former_primaries
+
+
+@pytest.mark.parametrize("seconds", [2.0, 8.0, 9.5, 10.0, 18.0])
+@pytest.mark.parametrize("size", [1, 2])
+def test_primary_is_replaced_beside_entry_vms_that_only_the_store_reaches(seconds, size):
+    """Guards against two holders that take over each other's change until the partition ends.
+
+    Each side sees the other as dead. The change must wait for the leases of those that it cannot
+    recall, also while their rows are marked as removed.
+    """
+    world, _ = memory.run(_change_beside_a_partition(seconds, size))
+    assert world.platform.replaced == ["t-1"]
+    assert not world.former_primaries
