Limit what is repeated to set up a connection, also by size

Four callers that changed a value of 1 MiB seven times in a transaction raised the memory of an entry VM to 427 MiB (60 MiB before the commands were followed by padding), above the limit of the process. Padding now has at most 64 Ki characters; beyond that there is none, and outside of transactions another connection is preferred. test_padding_of_large_values_is_limited failed before.

--- a/src/greengageshunt/platform/session_setup.py
+++ b/src/greengageshunt/platform/session_setup.py
@@ -8,8 +8,8 @@
 is sent before all of them are answered.
 
 In a transaction, an error also shows in the state that the next answers name, and a statement that
-was not prepared is not run. So there only session values are followed by harmless commands, and by
-none where they would be too many.
+was not prepared is not run. So there only session values are followed by harmless commands. Where
+these would be too many or too long, and no other connection can be used, none are added.
 """
 
 import dataclasses
@@ -21,8 +21,8 @@
 # The same in a transaction, which can't use another connection.
 TRANSACTION_PADDING_LIMIT = 32
 
-# Bytes of the longest command that is repeated on a connection that was set up before.
-PADDING_SIZE_LIMIT = 1024
+# Most characters that are added. Values of up to 1 MiB would otherwise fill the memory.
+PADDING_SIZE_LIMIT = 2**16
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -47,11 +47,13 @@
     Attributes:
         commands: Texts of the commands that matter.
         padding: Texts of the harmless commands that follow them.
+        complete: Whether these are as many as needed.
         result: Session values and prepared statements afterwards.
     """
 
     commands: tuple[str, ...]
     padding: tuple[str, ...]
+    complete: bool
     result: SessionSetup
 
 
@@ -88,26 +90,40 @@
             count += 1
             commands.append(f"PREPARE {names[shape]} {shape}")
     if not commands:
-        return Plan(commands=(), padding=(), result=current)
-    length = earlier + len(commands) - 1
-    if in_transaction and (not value_commands or length > TRANSACTION_PADDING_LIMIT):
-        length = 0
+        return Plan(commands=(), padding=(), complete=True, result=current)
+    needed = earlier + len(commands) - 1
+    if in_transaction and not value_commands:
+        needed = 0
+    padding = _padding(values, names, count, needed)
+    too_many = in_transaction and len(padding) > TRANSACTION_PADDING_LIMIT
+    complete = not too_many and sum(map(len, padding)) <= PADDING_SIZE_LIMIT
+    result = SessionSetup(values=dict(values), names=names, name_count=count + needed)
+    return Plan(
+        commands=tuple(commands),
+        padding=padding if complete else (),
+        complete=complete,
+        result=result,
+    )
+
+
+def _padding(
+    values: abc.Mapping[str, str], names: abc.Mapping[str, str], count: int, length: int
+) -> tuple[str, ...]:
+    """Return harmless commands for a connection with these session values and names."""
     if values:
-        padding = [min((f"SET {name} {value}" for name, value in values.items()), key=len)] * length
-    elif names:
+        return (min((f"SET {name} {value}" for name, value in values.items()), key=len),) * length
+    if names:
         # Names that are never executed. RESET would drop the others.
         shape = min(names, key=len)
-        padding = [f"PREPARE p{number} {shape}" for number in range(count, count + length)]
-        count += length
-    else:
-        padding = ["RESET"] * length
-    result = SessionSetup(values=dict(values), names=names, name_count=count)
-    return Plan(commands=tuple(commands), padding=tuple(padding), result=result)
+        return tuple(f"PREPARE p{number} {shape}" for number in range(count, count + length))
+    return ("RESET",) * length
 
 
 def is_cheap(planned: Plan, *, earlier: int) -> bool:
-    """Return whether a plan costs less than another connection, with its own set-up."""
-    if not earlier:
-        return True
-    longest = max(map(len, planned.padding), default=0)
-    return len(planned.padding) <= PADDING_LIMIT and longest <= PADDING_SIZE_LIMIT
+    """Return whether a plan is preferred to the set-up of another connection.
+
+    Args:
+        planned: The plan.
+        earlier: Answers without a signature that have arrived on the connection.
+    """
+    return not earlier or (planned.complete and len(planned.padding) <= PADDING_LIMIT)
--- a/tests/test_platform/test_session_setup.py
+++ b/tests/test_platform/test_session_setup.py
@@ -55,6 +55,20 @@
     assert set(planned.padding) == {"SET small y"} and len(planned.padding) == 10
 
 
+@pytest.mark.parametrize("in_transaction", [True, False])
+def test_padding_of_large_values_is_limited(in_transaction):
+    """Guards against a process whose memory fills with repeated values of 1 MiB."""
+    planned = session_setup.plan(
+        session_setup.SessionSetup(),
+        {"a": "x" * 2**20, "b": "y" * 2**20},
+        (),
+        earlier=7,
+        in_transaction=in_transaction,
+    )
+    assert len(planned.commands) == 2 and not planned.padding
+    assert not session_setup.is_cheap(planned, earlier=7)
+
+
 def test_connection_is_replaced_before_its_set_up_grows_without_limit():
     """Guards against padding that doubles with each new shape of a session."""
     current, earlier = session_setup.SessionSetup(), 0
