Roll back the transaction of a caller before the end of its invalid connection

Since invalid messages are answered, the transaction stayed open at the target for up to another second while further bytes of the caller were discarded.

--- a/src/greengageshunt/platform/frontend.py
+++ b/src/greengageshunt/platform/frontend.py
@@ -260,6 +260,8 @@
                 await self._run_statements(connection, session, reader)
         except framing.WireError as error:
             logger.debug("caller sent an invalid message", extra={"reason": str(error)})
+            if connection.session is not None:
+                await connection.session.close()
             with contextlib.suppress(OSError, TimeoutError):
                 await _end_invalid(reader, writer, str(error))
         except (OSError, TimeoutError) as error:
