--- a/src/greengageshunt/configuration/keys.py
+++ b/src/greengageshunt/configuration/keys.py
@@ -28,9 +28,9 @@
 def sha256_hex(secret: str) -> str:
     """Return the SHA-256 digest of a secret, in hexadecimal, as a configuration stores it.
 
-    A secret that is not UTF-8 holds its other bytes as surrogate escapes.
+    A secret may contain lone surrogates: a caller's may not be UTF-8, and JSON allows them.
     """
-    return hashlib.sha256(secret.encode("utf-8", "surrogateescape")).hexdigest()
+    return hashlib.sha256(secret.encode("utf-8", "surrogatepass")).hexdigest()
 
 
 def create_key(key_id: str, account: str) -> tuple[model.Key, str]:
--- a/tests/test_platform/test_decoding.py
+++ b/tests/test_platform/test_decoding.py
@@ -47,3 +47,10 @@
     assert [account.name for account in configuration.accounts] == SENDABLE
     assert [key.account for key in configuration.keys] == SENDABLE
     assert [line.tenant for line in caplog.records if line.message == "tenant left out"] == [name]
+
+
+def test_key_with_a_lone_surrogate_leaves_the_configuration_readable():
+    """Guards against one key without an encoding that keeps a whole configuration out of force."""
+    tenants = [{"name": "one", "rate-per-s": 1, "burst": 1, "api-keys": ["\ud800", "key"]}]
+    configuration = decoding.decode_configuration({"version": 1, "routes": [], "tenants": tenants})
+    assert len({key.digest for key in configuration.keys}) == 2
--- a/tests/test_platform/test_texts.py
+++ b/tests/test_platform/test_texts.py
@@ -166,3 +166,9 @@
     assert (len(lines), state) == (1, "I") and lines[0].startswith("ERROR "), lines[0][:80]
     for _ in range(3):
         assert await _succeed(caller, "READ item") != lines
+
+
+async def test_key_that_is_not_utf_8_is_denied(fleet):
+    """Guards against a key that ends the session with an exception instead of a refusal."""
+    with pytest.raises(AssertionError, match="ERROR DENIED "):
+        await _open(fleet, key="key-one\udcff")
