Count refused set-up as an answer, and log less about calm targets

The wait for the answers to set-up commands ends with the first error. The answers to the commands that settle an error are no longer logged as repeated ones, and errors count toward the number of answers after which a connection is replaced.

--- a/src/greengageshunt/metrics/entry.py
+++ b/src/greengageshunt/metrics/entry.py
@@ -74,7 +74,7 @@
 
     @property
     def unexpected_answers(self) -> Counts:
-        """Number of answers of targets that no statement awaited, by target and origin."""
+        """Answers that were not taken for that to the awaited statement, by target and origin."""
         return self._unexpected_answers
 
     @property
--- a/src/greengageshunt/metrics/entry_page.py
+++ b/src/greengageshunt/metrics/entry_page.py
@@ -56,7 +56,7 @@
         )
         yield families.counter(
             "unexpected_answers",
-            "Answers of targets that no statement awaited.",
+            "Answers of targets that were not taken for that to the awaited statement.",
             ("target", "origin"),
             self._counts.unexpected_answers,
         )
--- a/src/greengageshunt/platform/targets.py
+++ b/src/greengageshunt/platform/targets.py
@@ -65,8 +65,9 @@
 
     @property
     def complete(self) -> bool:
-        """Whether all answers have arrived."""
-        return len(self.received) == len(self._awaited)
+        """Whether all answers have arrived, or an error, after which the others don't matter."""
+        ended_early = bool(self.received) and bool(self.received[-1].code)
+        return ended_early or len(self.received) == len(self._awaited)
 
     @property
     def next_awaited(self) -> answers.Awaited | None:
@@ -212,7 +213,7 @@
             message = wire.encode_query(statement_id, text, after)
         except framing.WireError as error:
             raise self._error(str(error), step, sent=False) from error
-        awaited = self._awaited(statement_id, text, errors_matter)
+        awaited = self._make_awaited(statement_id, text, errors_matter)
         received = await self._send(message, (awaited,), step, timeout)
         return received[0]
 
@@ -244,12 +245,12 @@
             return
         texts = planned.commands + planned.padding
         messages = [wire.encode_query(_INTERNAL_STATEMENT_ID, text) for text in texts]
-        awaited = tuple(self._awaited(_INTERNAL_STATEMENT_ID, text) for text in texts)
+        awaited = tuple(self._make_awaited(_INTERNAL_STATEMENT_ID, text) for text in texts)
         received = await self._send(b"".join(messages), awaited, "set up", timeout)
         rejected = [answer for answer in received if answer.code]
         if rejected:
             self.abort()
-            raise self._error(f"{rejected[0].code} {rejected[0].message}", "set up")
+            raise self._error(rejected[0].message, "set up", code=rejected[0].code)
         self._setup = planned.result
 
     async def status(self, timeout: float) -> TargetStatus:
@@ -309,7 +310,7 @@
         self._reading = asyncio.create_task(self._read_answers())
         return self._reading
 
-    def _awaited(
+    def _make_awaited(
         self, statement_id: str, text: str, errors_matter: bool = False
     ) -> answers.Awaited:
         """Return what the success of a statement looks like."""
@@ -322,7 +323,7 @@
             kind, state = answers.Kind.BEGIN, statements.TransactionState.OPEN
         else:
             kind = answers.Kind.STATUS if word in _STATUS_STATEMENTS else answers.Kind.SETUP
-        # A transaction whose connection ends is rolled back, whichever statement the error is for.
+        # In a transaction, all errors but that of COMMIT lead to a roll-back.
         settle_errors = errors_matter and self._state is _NO_TRANSACTION
         return answers.Awaited(
             statement_id=statement_id, kind=kind, state=state, settle_errors=settle_errors
@@ -384,8 +385,10 @@
             # RESET does no harm, since no other statement uses the connection.
             reset = wire.encode_query(_INTERNAL_STATEMENT_ID, "RESET")
             self._writer.write(reset * self._history.disputed_answers)
-        elif origin is answers.Origin.SETTLED:
-            exchange.add(self._disputed)
+        elif self._disputed is not None and origin is not answers.Origin.UNCERTAIN:
+            # The answers to RESET settle the error and are expected.
+            if origin is answers.Origin.SETTLED:
+                exchange.add(self._disputed)
             return True
         self._log_unexpected(awaited, answer, origin)
         exchange.uncertain = origin is answers.Origin.UNCERTAIN
--- a/src/greengageshunt/pooling/answers.py
+++ b/src/greengageshunt/pooling/answers.py
@@ -69,7 +69,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class UnexpectedAnswer:
-    """An answer of a target that may not belong to the statement that awaited one."""
+    """An answer of a target that was not taken for that to the awaited statement."""
 
     target: str
     origin: Origin
@@ -89,8 +89,8 @@
 
     @property
     def size(self) -> int:
-        """Number of signatures that are kept."""
-        return len(self._ids_by_signature)
+        """Number of signatures and errors that are kept."""
+        return len(self._ids_by_signature) + len(self._errors)
 
     @property
     def has_errors(self) -> bool:
@@ -111,7 +111,8 @@
         """Return whether an answer to ``BEGIN`` would differ from all earlier ones.
 
         Args:
-            position: Log position of the target, or a later one.
+            position: Log position that the target named last. It may have moved since, to one at
+                which no transaction of this connection has begun.
         """
         return position not in self._begin_positions
 
--- a/src/greengageshunt/pooling/execution.py
+++ b/src/greengageshunt/pooling/execution.py
@@ -115,6 +115,12 @@
     )
 
 
+def _answered(error: errors.TargetError) -> bool:
+    """Return whether an error shows that the target can be reached."""
+    refused = bool(error.code) and error.code != statements.Code.TIMEOUT
+    return refused or isinstance(error, errors.UncertainAnswerError)
+
+
 class NotPlacedError(errors.GreengageshuntError):
     """No connection to an eligible target was available in time; the statement did not run."""
 
@@ -258,7 +264,7 @@
             sent_at: Monotonic seconds at which the statement was sent.
         """
         now = self._app.clock()
-        if isinstance(error, errors.UncertainAnswerError):
+        if _answered(error):
             placement.pool.record_answer(now)
             return
         if placement.pool.answered_at >= sent_at:
@@ -397,10 +403,11 @@
         try:
             await connection.apply_session_state(values, shapes, SETUP_TIMEOUT)
         except BaseException as error:
-            if isinstance(error, errors.UncertainAnswerError):
-                target_pool.record_answer(self._app.clock())
-            elif isinstance(error, errors.TargetError):
-                target_pool.record_failure(self._app.clock())
+            if isinstance(error, errors.TargetError):
+                if _answered(error):
+                    target_pool.record_answer(self._app.clock())
+                else:
+                    target_pool.record_failure(self._app.clock())
             target_pool.release(connection)
             raise
         now = self._app.clock()
--- a/src/greengageshunt/pooling/pool.py
+++ b/src/greengageshunt/pooling/pool.py
@@ -182,7 +182,7 @@
 
     def has_idle(self, account: str, suits: Suits = _suits_all) -> bool:
         """Return whether a client account has an idle connection that suits, or an expected one."""
-        idle = any(connection.account == account and suits(connection) for connection in self._idle)
+        idle = any(c.account == account and c.idle and suits(c) for c in self._idle)
         return idle or self._unclaimed(account) is not None
 
     def record_answer(self, now: float) -> None:
