Keep connections and load off replicas that lag

An error after set-up commands ended its connection, and most reads follow them. LAGGING, READONLY and NOSTMT can't be answers to set-up commands, so they belong to the awaited statement.

--- a/src/greengageshunt/pooling/answers.py
+++ b/src/greengageshunt/pooling/answers.py
@@ -20,6 +20,11 @@
 from greengageshunt import model
 from greengageshunt.pooling import statements
 
+# Codes of errors that set-up statements can't get.
+_STATEMENT_CODES = frozenset(
+    {statements.Code.LAGGING, statements.Code.READ_ONLY, statements.Code.NO_STATEMENT}
+)
+
 
 class Kind(enum.Enum):
     """What the success of a statement looks like."""
@@ -154,8 +159,9 @@
         error = (answer.code, answer.message)
         if error in self._errors or self._disputed_answers:
             return Origin.UNCERTAIN
-        if not self._unproven:
+        if not self._unproven or answer.code in _STATEMENT_CODES:
             self._errors.add(error)
+            self._unproven = False
             return Origin.OWN
         if not awaited.settle_errors:
             return Origin.UNCERTAIN
--- a/src/greengageshunt/pooling/choice.py
+++ b/src/greengageshunt/pooling/choice.py
@@ -30,7 +30,7 @@
         busy: Statements of this entry VM that hold or await a connection to it.
         same_domain: Whether it is in the failure domain of this entry VM.
         has_idle_connection: Whether the client account has an idle connection to it.
-        usable: Whether it is reachable, not tried before, and not a draining replica.
+        usable: Whether it is reachable, not tried before, and not a draining or lagging replica.
         response_seconds: Mean response time of its recent reads in seconds, or 0 if unknown.
     """
 
--- a/src/greengageshunt/pooling/execution.py
+++ b/src/greengageshunt/pooling/execution.py
@@ -10,7 +10,7 @@
 
 from greengageshunt import application, errors, model
 from greengageshunt.coordination import lease, records, view
-from greengageshunt.pooling import choice, freshness, pool, pools, statements
+from greengageshunt.pooling import choice, freshness, lagging, pool, pools, statements
 
 logger = logging.getLogger(__name__)
 
@@ -135,6 +135,7 @@
         self._pools: pools.TargetPools = app.part("pooling", "pools")
         self._freshness: freshness.Freshness = app.part("pooling", "freshness")
         self._own_member = app.part("membership", "view").me
+        self._lagging = lagging.LaggingReplicas()
         self._response_times: dict[str, tuple[float, float]] = {}
         self._changing_since: dict[str, float] = {}
         self._writes_in_progress: collections.Counter[str] = collections.Counter()
@@ -239,9 +240,11 @@
     def record_answer(
         self, operation: Operation, placement: Placement, answer: statements.TargetAnswer
     ) -> None:
-        """Record that a target answered, and the log position if it is the primary."""
+        """Record that a target answered, and the log position of the primary or of a refusal."""
         now = self._app.clock()
         placement.pool.record_answer(now)
+        if answer.code == statements.Code.LAGGING:
+            self._lagging.note_refusal(placement.target, answer.position, now)
         if placement.primary and answer.position is not None:
             group = operation.database.group
             self._freshness.note_position(group, placement.checked_at, answer.position)
@@ -341,7 +344,7 @@
         primary_lease = self._leases.lease(group, now)
         needs = self.needs(operation)
         candidates = [
-            self._candidate(entry, primary_lease, operation, tried, now)
+            self._candidate(entry, primary_lease, operation, needs, tried, now)
             for entry in self._view.targets_of(group)
         ]
         return choice.choose(
@@ -353,6 +356,7 @@
         entry: records.TargetEntry,
         primary_lease: lease.Lease,
         operation: Operation,
+        needs: choice.Needs,
         tried: set[str],
         now: float,
     ) -> choice.Candidate:
@@ -360,6 +364,7 @@
         primary = entry.target == primary_lease.target
         response_seconds, noted_at = self._response_times.get(entry.target, (0.0, now))
         usable = target_pool.reachable(now) and entry.target not in tried
+        lacking = not primary and self._lagging.lacks(entry.target, needs.after, now)
         return choice.Candidate(
             target=entry.target,
             primary=primary,
@@ -367,7 +372,7 @@
             same_domain=entry.failure_domain == self._own_member.failure_domain,
             has_idle_connection=target_pool.has_idle(operation.account, _suits(operation)),
             # A draining primary serves until another target has taken over.
-            usable=usable and (primary or not entry.draining),
+            usable=usable and not lacking and (primary or not entry.draining),
             response_seconds=response_seconds if now - noted_at <= RESPONSE_TIME_EXPIRY else 0.0,
         )
 
