Settle errors without a new connection, and recognize repeats by position

An error that may belong to another statement is now settled for reads, too, by harmless commands behind it, and the connection stays in use. Writes may use connections on which errors arrived. An answer without a signature, or an error, from before the newest position of its connection is recognized as a repeated one, so far fewer harmless commands are needed, and fewer connections are replaced for their number.

--- a/src/greengageshunt/platform/session_setup.py
+++ b/src/greengageshunt/platform/session_setup.py
@@ -1,9 +1,9 @@
 """Commands that give a connection to a target the session values and prepared statements it needs.
 
 A target answers each of them with ``COMPLETE -``, and may send each such answer once more, at any
-later moment. After ``earlier`` such answers, the one that follows a command can therefore be a
-repeated one, while the target has refused the command and its error arrives later. Each repeated
-answer delays that error by one place, so it arrives among the next ``earlier + 1`` answers. As many
+later moment. Where up to ``earlier`` such answers may still arrive, the one that follows a command
+can be one of them, while the target has refused the command and its error arrives later. Each of
+them delays that error by one place, so it arrives among the next ``earlier + 1`` answers. As many
 harmless commands are added behind the last one that matters as make sure of that, and nothing else
 is sent before all of them are answered.
 
@@ -71,7 +71,7 @@
         current: What the connection has.
         values: Session values that it must have, and no others.
         shapes: Shapes that must be prepared.
-        earlier: Answers without a signature that have arrived on the connection.
+        earlier: Most answers without a signature that may still arrive for earlier statements.
         in_transaction: Whether a transaction is open on it.
     """
     commands = []
@@ -94,10 +94,10 @@
     needed = earlier + len(commands) - 1
     if in_transaction and not value_commands:
         needed = 0
-    padding = _padding(values, names, count, needed)
+    result = SessionSetup(values=dict(values), names=names, name_count=count + needed)
+    padding = harmless_commands(dataclasses.replace(result, name_count=count), needed)
     too_many = in_transaction and len(padding) > TRANSACTION_PADDING_LIMIT
     complete = not too_many and sum(map(len, padding)) <= PADDING_SIZE_LIMIT
-    result = SessionSetup(values=dict(values), names=names, name_count=count + needed)
     return Plan(
         commands=tuple(commands),
         padding=padding if complete else (),
@@ -106,16 +106,18 @@
     )
 
 
-def _padding(
-    values: abc.Mapping[str, str], names: abc.Mapping[str, str], count: int, length: int
-) -> tuple[str, ...]:
-    """Return harmless commands for a connection with these session values and names."""
-    if values:
-        return (min((f"SET {name} {value}" for name, value in values.items()), key=len),) * length
-    if names:
+def harmless_commands(current: SessionSetup, length: int) -> tuple[str, ...]:
+    """Return commands that change nothing for the statements of a connection.
+
+    They may use ``length`` further names.
+    """
+    if current.values:
+        commands = (f"SET {name} {value}" for name, value in current.values.items())
+        return (min(commands, key=len),) * length
+    if current.names:
         # Names that are never executed. RESET would drop the others.
-        shape = min(names, key=len)
-        return tuple(f"PREPARE p{number} {shape}" for number in range(count, count + length))
+        shape, first = min(current.names, key=len), current.name_count
+        return tuple(f"PREPARE p{number} {shape}" for number in range(first, first + length))
     return ("RESET",) * length
 
 
@@ -124,6 +126,6 @@
 
     Args:
         planned: The plan.
-        earlier: Answers without a signature that have arrived on the connection.
+        earlier: Most answers without a signature that may still arrive for earlier statements.
     """
     return not earlier or (planned.complete and len(planned.padding) <= PADDING_LIMIT)
--- a/src/greengageshunt/platform/targets.py
+++ b/src/greengageshunt/platform/targets.py
@@ -153,7 +153,6 @@
         values: abc.Mapping[str, str] | None,
         shapes: abc.Collection[str],
         *,
-        errors_matter: bool,
         transaction: bool,
     ) -> bool:
         """Return whether the answers to an operation will differ from all earlier ones.
@@ -163,16 +162,13 @@
         Args:
             values: Session values of the operation, or None if they don't matter yet.
             shapes: Shapes of the prepared statements that its first statement executes.
-            errors_matter: Whether an error decides if a write ran.
             transaction: Whether the operation is a transaction.
         """
-        if errors_matter and self._history.has_errors:
-            return False
         if transaction and not self._history.may_begin(self._position):
             return False
-        earlier = self._history.unsigned
         if values is None:
             return True
+        earlier = self._history.earlier
         planned = session_setup.plan(self._setup, values, shapes, earlier=earlier)
         return session_setup.is_cheap(planned, earlier=earlier)
 
@@ -191,7 +187,6 @@
         *,
         timeout: float,
         after: model.Position | None = None,
-        errors_matter: bool = False,
     ) -> statements.TargetAnswer:
         """Run one statement and return the complete answer.
 
@@ -200,7 +195,6 @@
             text: Text of the statement.
             timeout: Seconds to wait for the complete answer.
             after: Position that the target's log must have reached, or None.
-            errors_matter: Whether an error decides if a write ran.
 
         Raises:
             TargetError: The answer is missing or incomplete; the connection is closed. Its
@@ -213,7 +207,7 @@
             message = wire.encode_query(statement_id, text, after)
         except framing.WireError as error:
             raise self._error(str(error), step, sent=False) from error
-        awaited = self._make_awaited(statement_id, text, errors_matter)
+        awaited = self._make_awaited(statement_id, text)
         received = await self._send(message, (awaited,), step, timeout)
         return received[0]
 
@@ -238,7 +232,7 @@
             self._setup,
             values,
             shapes,
-            earlier=self._history.unsigned,
+            earlier=self._history.earlier,
             in_transaction=self._state is not _NO_TRANSACTION,
         )
         if not planned.commands:
@@ -310,9 +304,7 @@
         self._reading = asyncio.create_task(self._read_answers())
         return self._reading
 
-    def _make_awaited(
-        self, statement_id: str, text: str, errors_matter: bool = False
-    ) -> answers.Awaited:
+    def _make_awaited(self, statement_id: str, text: str) -> answers.Awaited:
         """Return what the success of a statement looks like."""
         word = text.partition(" ")[0]
         state = self._state
@@ -324,7 +316,7 @@
         else:
             kind = answers.Kind.STATUS if word in _STATUS_STATEMENTS else answers.Kind.SETUP
         # In a transaction, all errors but that of COMMIT lead to a roll-back.
-        settle_errors = errors_matter and self._state is _NO_TRANSACTION
+        settle_errors = kind is answers.Kind.SIGNED and self._state is _NO_TRANSACTION
         return answers.Awaited(
             statement_id=statement_id, kind=kind, state=state, settle_errors=settle_errors
         )
@@ -377,23 +369,30 @@
         origin = self._history.judge(awaited, answer)
         if origin is answers.Origin.OWN:
             self._state, self._position = answer.state, answer.position
+            # An own answer after a disputed error shows that the error was repeated or late.
+            self._saw_unexpected |= self._disputed is not None
             exchange.add(answer)
             return True
-        self._saw_unexpected = True
         if origin is answers.Origin.DISPUTED:
             self._disputed = answer
-            # RESET does no harm, since no other statement uses the connection.
-            reset = wire.encode_query(_INTERNAL_STATEMENT_ID, "RESET")
-            self._writer.write(reset * self._history.disputed_answers)
-        elif self._disputed is not None and origin is not answers.Origin.UNCERTAIN:
-            # The answers to RESET settle the error and are expected.
-            if origin is answers.Origin.SETTLED:
-                exchange.add(self._disputed)
-            return True
-        self._log_unexpected(awaited, answer, origin)
-        exchange.uncertain = origin is answers.Origin.UNCERTAIN
+            self._send_harmless(self._history.settling_answers)
+        elif origin is answers.Origin.SETTLED:
+            settled, self._disputed = self._disputed, None
+            exchange.add(settled)
+        elif origin is not answers.Origin.SETTLING:
+            self._saw_unexpected = True
+            self._log_unexpected(awaited, answer, origin)
+            exchange.uncertain = origin is answers.Origin.UNCERTAIN
         return not exchange.uncertain
 
+    def _send_harmless(self, count: int) -> None:
+        """Send commands whose answers settle a disputed error."""
+        commands = session_setup.harmless_commands(self._setup, count)
+        used = self._setup.name_count + count
+        self._setup = dataclasses.replace(self._setup, name_count=used)
+        for text in commands:
+            self._writer.write(wire.encode_query(_INTERNAL_STATEMENT_ID, text))
+
     def _log_unexpected(
         self,
         awaited: answers.Awaited | None,
--- a/src/greengageshunt/pooling/execution.py
+++ b/src/greengageshunt/pooling/execution.py
@@ -110,9 +110,7 @@
         values: Session variables, or None if they are not known yet.
         shapes: Shapes of the prepared statements that its first statement executes.
     """
-    return lambda connection: connection.suits(
-        values, shapes, errors_matter=operation.primary_only, transaction=operation.transaction
-    )
+    return lambda connection: connection.suits(values, shapes, transaction=operation.transaction)
 
 
 def _answered(error: errors.TargetError) -> bool:
--- a/src/greengageshunt/pooling/session.py
+++ b/src/greengageshunt/pooling/session.py
@@ -453,7 +453,6 @@
                 text,
                 timeout=max(0.0, deadline - sent_at),
                 after=after,
-                errors_matter=is_write,
             )
         except errors.TargetError as error:
             executor.record_failure(placement, error, sent_at)
