--- a/src/greengageshunt/platform/targets.py
+++ b/src/greengageshunt/platform/targets.py
@@ -164,6 +164,8 @@
             shapes: Shapes of the prepared statements that its first statement executes.
             transaction: Whether the operation is a transaction.
         """
+        if self._history.outstanding > answers.REUSE_LIMIT:
+            return False
         if transaction and not self._history.may_begin(self._position):
             return False
         if values is None:
--- a/src/greengageshunt/pooling/answers.py
+++ b/src/greengageshunt/pooling/answers.py
@@ -36,8 +36,12 @@
     STATUS = "status"
 
 
-# Most answers that are awaited to settle an error. Above it, another connection costs less.
-SETTLING_LIMIT = 32
+# Most answers that are awaited to settle an error.
+SETTLING_LIMIT = 64
+
+# Answers that may still arrive above which another connection is used, so that its set-up and the
+# settling of an error stay within the limit.
+REUSE_LIMIT = 32
 
 
 class Origin(enum.Enum):
@@ -117,6 +121,11 @@
         """
         return len(self._unproven) + self._count_recent(self._proven)
 
+    @property
+    def outstanding(self) -> int:
+        """Most answers without a signature and errors that may arrive in front of the next one."""
+        return self.earlier + sum(map(self._count_recent, self._errors.values()))
+
     @property
     def settling_answers(self) -> int:
         """Answers that are still needed to settle a disputed error; 0 without one."""
@@ -192,7 +201,7 @@
     def _judge_error(self, awaited: Awaited, answer: statements.TargetAnswer) -> Origin:
         error = (answer.code, answer.message)
         seen = error in self._errors
-        outstanding = self.earlier + sum(map(self._count_recent, self._errors.values()))
+        outstanding = self.outstanding
         self._note_error(answer)
         if not seen and (not self._unproven or answer.code in _STATEMENT_CODES):
             self._prove()
