--- a/src/greengageshunt/admission/granted.py
+++ b/src/greengageshunt/admission/granted.py
@@ -19,27 +19,13 @@
 from collections import abc
 
 from greengageshunt import application, errors, logs, model
-from greengageshunt.admission import allowance, bucket, decision
+from greengageshunt.admission import allowance, bucket, decision, grant_parts
 from greengageshunt.coordination import lease, records, view
-from greengageshunt.membership import ownership, topology
+from greengageshunt.membership import topology
 from greengageshunt.peers import messages
 
 logger = logging.getLogger(__name__)
 
-# Fraction of an account's limit that is divided among the reserves of all entry VMs.
-RESERVE_FRACTION = 0.4
-
-# Number of entry VMs among which the rest of the limit is divided. At usual load, one of them
-# may fail without rejected requests.
-HOLDER_COUNT = 3
-
-# Fewest tokens in a window for which a holder is used. Its bucket holds at least one, which is
-# taken off its rate where the burst is small; with smaller parts, more of the rate is lost.
-MIN_HOLDER_TOKENS = 4.0
-
-# Seconds after which unspent granted tokens expire.
-GRANT_LIFETIME = 1.5
-
 # Seconds after which a refunded token expires if it is not spent.
 REFUND_LIFETIME = 1.0
 
@@ -67,12 +53,6 @@
 # Time constant, in seconds, of the moving average of the demand.
 DEMAND_TIME_CONSTANT = 1.0
 
-# Seconds after a change of the registered names until a new holder may grant tokens. A holder
-# that missed the change grants tokens only until its confirmation expires, and the tokens of its
-# last grant expire within this time too. If it were shorter, the old and the new holder could
-# grant the same tokens.
-HOLDER_HANDOVER = lease.LEASE_SECONDS + lease.CLOCK_DRIFT_MARGIN_SECONDS + GRANT_LIFETIME
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class GrantRequest:
@@ -99,114 +79,6 @@
 messages.register(Grant)
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class RegisteredNames:
-    """Names of the registered entry VMs, and when this process first read them.
-
-    Attributes:
-        names: Names of entry VMs, sorted.
-        hubs: Hubs of each failure domain, or empty if each entry VM may be a holder.
-        first_read_at: Monotonic seconds of the first read; negative infinity for the names that
-            the process read first after its start.
-        position: Era and version of the control table that contained these names.
-        drops_candidate: Whether the preceding names had a possible holder that these lack.
-    """
-
-    names: tuple[str, ...]
-    first_read_at: float
-    position: tuple[int, int]
-    drops_candidate: bool = False
-    hubs: tuple[tuple[str, ...], ...] = ()
-
-    @property
-    def candidates(self) -> frozenset[str]:
-        """Names of the entry VMs that may be selected as holders of an account."""
-        return frozenset(itertools.chain.from_iterable(self.hubs or (self.names,)))
-
-
-def reserve_fraction(registered: RegisteredNames, limit: float = math.inf) -> float:
-    """Return the fraction of a limit that is divided among the reserves of all entry VMs.
-
-    A limit without a token in a window for each reserve of the largest fleet has none. This doesn't
-    depend on the number of names, since entry VMs may know different ones.
-
-    Args:
-        registered: Names of the registered entry VMs.
-        limit: Requests that the account may send in one window.
-    """
-    too_small = RESERVE_FRACTION * limit < topology.MAX_FULL_MESH_SIZE
-    return 0.0 if registered.hubs or too_small else RESERVE_FRACTION
-
-
-def holders_of(
-    account: str, registered: RegisteredNames, limit: float = math.inf
-) -> tuple[str, ...]:
-    """Return the holders of an account among the registered names; a small limit has fewer.
-
-    Args:
-        account: Name of the client account.
-        registered: Names of the registered entry VMs.
-        limit: Requests that the account may send in one window.
-    """
-
-    def rank(names: abc.Iterable[str]) -> list[str]:
-        return sorted(names, key=lambda name: ownership.score(account, name), reverse=True)
-
-    if registered.hubs:
-        holders = [rank(local)[0] for local in registered.hubs]
-    else:
-        holders = rank(registered.names)[:HOLDER_COUNT]
-    granted = (1.0 - reserve_fraction(registered, limit)) * limit
-    count = max(1, int(min(len(holders), granted / MIN_HOLDER_TOKENS)))
-    return tuple(holders if count == len(holders) else rank(holders)[:count])
-
-
-def may_grant(
-    account: str,
-    vm: str,
-    history: abc.Sequence[RegisteredNames],
-    common: tuple[int, int],
-    now: float,
-    limit: float = math.inf,
-) -> bool:
-    """Return whether an entry VM is a holder of an account and no earlier holder may still grant.
-
-    Args:
-        account: Name of the client account.
-        vm: Name of the entry VM.
-        history: Registered names, newest first.
-        common: Era and version of the control table that all possible holders have read.
-        now: Monotonic seconds.
-        limit: Requests that the account may send in one window.
-    """
-    for registered in history:
-        if vm not in holders_of(account, registered, limit):
-            return False
-        # A removed holder may not have read of its removal, and may still grant tokens.
-        read_by_all = registered.position <= common and not registered.drops_candidate
-        if read_by_all or now - registered.first_read_at >= HOLDER_HANDOVER:
-            return True
-    return bool(history)
-
-
-def part_of(account: model.ClientAccount, part: float, window: float) -> tuple[float, float]:
-    """Return the rate and the capacity of a bucket for a part of an account's limit.
-
-    A bucket that holds less than one token admits nothing. What its capacity exceeds the part of
-    the burst by is taken off its rate, so that it keeps to the part of the limit in each window.
-    An account that may not send a whole request in a window keeps its rate.
-
-    Args:
-        account: The client account with its whole limit.
-        part: Fraction of the limit, from 0 to 1.
-        window: Length of the windows in seconds.
-    """
-    rate, capacity = account.rate * part, max(1.0, account.burst * part)
-    if account.rate * window + account.burst < 1.0:
-        return rate, capacity
-    return max(0.0, rate - (capacity - account.burst * part) / window), capacity
-
-
 def grant_size(requested: float, available: float) -> float:
     """Return the tokens that a holder grants.
 
@@ -243,7 +115,7 @@
         self._view: view.StoreView = app.part("coordination", "view")
         self._copies = app.part("coordination", "copies")
         self._started_at = app.clock()
-        self._name_history: tuple[RegisteredNames, ...] = ()
+        self._name_history: tuple[grant_parts.RegisteredNames, ...] = ()
         self._reserves: dict[str, bucket.Bucket] = {}
         self._holder_buckets: dict[str, bucket.Bucket] = {}
         self._granted: dict[str, tuple[float, float]] = {}
@@ -374,7 +246,7 @@
                 continue
             grant = await self._request_grant(account, holder, wanted)
             if grant.tokens >= 1.0:
-                self._granted[account] = (grant.tokens, now + GRANT_LIFETIME)
+                self._granted[account] = (grant.tokens, now + grant_parts.GRANT_LIFETIME)
                 return True
             reasons.append(f"{holder} {grant.reason}")
             self._empty_until[(account, holder)] = self._app.clock() + EMPTY_HOLDER_BACKOFF
@@ -388,7 +260,7 @@
         """
         if not self._name_history:
             return ()
-        holders = holders_of(account, self._name_history[0], self._limit(account))
+        holders = grant_parts.holders_of(account, self._name_history[0], self._limit(account))
         first = next(self._rounds) % len(holders)
         ordered = (*holders[first:], *holders[:first])
         if not self._name_history[0].hubs:
@@ -426,11 +298,11 @@
             return Grant(tokens=0.0, reason="the registered names are not confirmed")
         limit = self._limit(request.account)
         common = self._common_position()
-        if not may_grant(request.account, me, self._name_history, common, now, limit):
+        if not grant_parts.may_grant(request.account, me, self._name_history, common, now, limit):
             return Grant(tokens=0.0, reason="not a holder")
         newest = self._name_history[0]
-        holders = holders_of(request.account, newest, limit)
-        part = (1.0 - reserve_fraction(newest, limit)) / len(holders)
+        holders = grant_parts.holders_of(request.account, newest, limit)
+        part = (1.0 - grant_parts.reserve_fraction(newest, limit)) / len(holders)
         held = self._resized(self._holder_buckets.get(request.account), account, part, now)
         tokens = grant_size(request.tokens, held.tokens)
         self._holder_buckets[request.account] = dataclasses.replace(
@@ -452,7 +324,7 @@
         if limits is None or not self._name_history:
             return None
         newest = self._name_history[0]
-        part = reserve_fraction(newest, self._limit(account)) / len(newest.names)
+        part = grant_parts.reserve_fraction(newest, self._limit(account)) / len(newest.names)
         if not part:
             return None
         return self._resized(self._reserves.get(account), limits, part, now)
@@ -466,7 +338,7 @@
         """Empty the reserves of accounts that have none now, so that none refills meanwhile."""
         now = self._app.clock()
         for account in self._accounts if self._name_history else ():
-            if not reserve_fraction(self._name_history[0], self._limit(account)):
+            if not grant_parts.reserve_fraction(self._name_history[0], self._limit(account)):
                 self._reserves[account] = bucket.Bucket(
                     rate=0.0, capacity=0.0, tokens=0.0, updated_at=now
                 )
@@ -489,7 +361,7 @@
             part: Fraction of the limit, from 0 to 1.
             now: Monotonic seconds.
         """
-        rate, capacity = part_of(account, part, self._window)
+        rate, capacity = grant_parts.part_of(account, part, self._window)
         if current is None:
             empty_at = max(self._started_at, self._name_history[0].first_read_at)
             current = bucket.Bucket(rate=rate, capacity=capacity, tokens=0.0, updated_at=empty_at)
@@ -514,11 +386,11 @@
         recent = [
             earlier
             for earlier in self._name_history
-            if now - earlier.first_read_at < HOLDER_HANDOVER
+            if now - earlier.first_read_at < grant_parts.HOLDER_HANDOVER
         ]
-        # The names before these were in force at the start of the last HOLDER_HANDOVER seconds.
+        # The names before these were in force at the start of the last ``HOLDER_HANDOVER`` seconds.
         older = self._name_history[len(recent) : len(recent) + 1]
-        newest = RegisteredNames(
+        newest = grant_parts.RegisteredNames(
             names=names, hubs=self._hubs(names), first_read_at=first_read_at, position=position
         )
         if self._name_history and not self._name_history[0].candidates <= newest.candidates:
--- a/src/greengageshunt/platform/targets.py
+++ b/src/greengageshunt/platform/targets.py
@@ -155,9 +155,9 @@
         *,
         transaction: bool,
     ) -> bool:
-        """Return whether the answers to an operation will differ from all earlier ones.
+        """Return whether the answers to an operation can be attributed at less cost than elsewhere.
 
-        ``pooling.answers`` says why they must.
+        ``pooling.answers`` says how they are.
 
         Args:
             values: Session values of the operation, or None if they don't matter yet.
--- a/tests/test_admission/test_granted.py
+++ b/tests/test_admission/test_granted.py
@@ -7,7 +7,7 @@
 import pytest
 
 from greengageshunt import application, config, errors, model
-from greengageshunt.admission import granted
+from greengageshunt.admission import grant_parts, granted
 from greengageshunt.coordination import records, view
 
 ACCOUNT = model.ClientAccount(name="one", weight=1.0, rate=20.0, burst=20.0)
@@ -268,23 +268,26 @@
 
 def test_new_holder_waits_until_all_have_read_the_names_or_the_handover_ends():
     """Guards against an old and a new holder that grant the same tokens."""
-    before = granted.RegisteredNames(
+    before = grant_parts.RegisteredNames(
         names=("a", "b", "c", "d"), first_read_at=-math.inf, position=(1, 3)
     )
-    after = granted.RegisteredNames(names=("b", "c", "d", "e"), first_read_at=50.0, position=(1, 9))
+    after = grant_parts.RegisteredNames(
+        names=("b", "c", "d", "e"), first_read_at=50.0, position=(1, 9)
+    )
     account = next(
         name
         for name in (f"account-{number}" for number in range(100))
-        if "a" in granted.holders_of(name, before) and "e" in granted.holders_of(name, after)
+        if "a" in grant_parts.holders_of(name, before)
+        and "e" in grant_parts.holders_of(name, after)
     )
     known = (after, before)
-    assert not granted.may_grant(account, "e", known, (1, 8), 51.0)
-    assert granted.may_grant(account, "e", known, (1, 9), 51.0)
-    assert granted.may_grant(account, "e", known, (1, 8), 50.01 + granted.HOLDER_HANDOVER)
+    assert not grant_parts.may_grant(account, "e", known, (1, 8), 51.0)
+    assert grant_parts.may_grant(account, "e", known, (1, 9), 51.0)
+    assert grant_parts.may_grant(account, "e", known, (1, 8), 50.01 + grant_parts.HOLDER_HANDOVER)
     after_removal = dataclasses.replace(after, drops_candidate=True)
-    assert not granted.may_grant(account, "e", (after_removal, before), (1, 9), 51.0)
+    assert not grant_parts.may_grant(account, "e", (after_removal, before), (1, 9), 51.0)
     # Versions of before a restore of the store are given out again, in a higher era.
-    assert granted.may_grant(account, "e", known, (2, 3), 51.0)
+    assert grant_parts.may_grant(account, "e", known, (2, 3), 51.0)
 
 
 async def test_token_of_a_request_that_was_not_executed_is_refunded():
@@ -330,8 +333,8 @@
     """Return the policy of an entry VM that is no holder, and the names of the holders."""
     vms = tuple(f"vm-{index}" for index in range(8))
     fleet = {vm: _policy(vm, vms, clock, network) for vm in vms}
-    holders = granted.holders_of(
-        ACCOUNT.name, granted.RegisteredNames(names=vms, first_read_at=0.0, position=(1, 1))
+    holders = grant_parts.holders_of(
+        ACCOUNT.name, grant_parts.RegisteredNames(names=vms, first_read_at=0.0, position=(1, 1))
     )
     return next(fleet[vm][1] for vm in vms if vm not in holders), list(holders)
 
